--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := notes protocol decisions daemon ctl
-EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+PACKAGES := wire telemetry notes protocol decisions daemon gateway ctl
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 
 .PHONY: install demo test check long long-mixed measure refusals
 
 install: $(VENV)/installed
 
-$(VENV)/installed: requirements-dev.txt $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml)
+$(VENV)/installed: requirements-dev.txt $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install -q -r requirements-dev.txt $(EDITABLE)
 	touch $@
@@ -21,7 +21,7 @@
 check: install
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/mypy packages/*/src
+	$(VENV)/bin/mypy packages/*/src platform/src
 
 measure: install
 	PYTHONPATH=packages/daemon/tests $(PYTHON) benchmarks/tail.py
--- a/benchmarks/baseline.py
+++ b/benchmarks/baseline.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cassiahead_daemon import wire
+from cassiahead_wire import connection as wire
 from standins import load
 
 if TYPE_CHECKING:
--- a/packages/daemon/src/cassiahead_daemon/admission.py
+++ b/packages/daemon/src/cassiahead_daemon/admission.py
@@ -8,15 +8,15 @@
 
 import attrs
 
-from cassiahead_daemon import clock
 from cassiahead_daemon import errors
-from cassiahead_daemon import events
 from cassiahead_daemon import node as node_lib
-from cassiahead_daemon import wire
 from cassiahead_decisions import limiter as limiter_lib
 from cassiahead_decisions import membership
 from cassiahead_protocol import api
 from cassiahead_protocol import codec
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
 
 if TYPE_CHECKING:
     from cassiahead_notes import api as notes
--- a/packages/daemon/src/cassiahead_daemon/application.py
+++ b/packages/daemon/src/cassiahead_daemon/application.py
@@ -11,9 +11,7 @@
 from tornado import httpserver
 from tornado import web
 
-from cassiahead_daemon import clock
 from cassiahead_daemon import entry as entry_lib
-from cassiahead_daemon import events
 from cassiahead_daemon import exchanger as exchanger_lib
 from cassiahead_daemon import handlers
 from cassiahead_daemon import node as node_lib
@@ -21,6 +19,9 @@
 from cassiahead_daemon import platform
 from cassiahead_daemon import relay as relay_lib
 from cassiahead_daemon import settings as settings_lib
+from cassiahead_telemetry import events
+from cassiahead_wire import addresses
+from cassiahead_wire import clock
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -145,7 +146,7 @@
     def _listen(
         self, name: str, routes: list[Any], address: str, body_bytes: int
     ) -> None:
-        host, port = settings_lib.split_address(address)
+        host, port = addresses.split_address(address)
         server = httpserver.HTTPServer(
             web.Application(routes),
             max_body_size=body_bytes,
--- a/packages/daemon/src/cassiahead_daemon/context.py
+++ b/packages/daemon/src/cassiahead_daemon/context.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from cassiahead_daemon import clock
 from cassiahead_notes import api as notes
 from cassiahead_protocol import api
+from cassiahead_wire import clock
 
 __all__ = ["RequestContext"]
 
--- a/packages/daemon/src/cassiahead_daemon/entry.py
+++ b/packages/daemon/src/cassiahead_daemon/entry.py
@@ -13,10 +13,8 @@
 import attrs
 
 from cassiahead_daemon import admission
-from cassiahead_daemon import clock
 from cassiahead_daemon import context as context_lib
 from cassiahead_daemon import errors
-from cassiahead_daemon import events
 from cassiahead_daemon import node as node_lib
 from cassiahead_daemon import orders
 from cassiahead_daemon import scatter as scatter_lib
@@ -25,6 +23,8 @@
 from cassiahead_decisions import poison as poison_lib
 from cassiahead_notes import api as notes
 from cassiahead_protocol import api
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
 
 if TYPE_CHECKING:
     from cassiahead_decisions import replicas as replicas_lib
--- a/packages/daemon/src/cassiahead_daemon/exchanger.py
+++ b/packages/daemon/src/cassiahead_daemon/exchanger.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from cassiahead_daemon import clock
-from cassiahead_daemon import events
 from cassiahead_daemon import node as node_lib
-from cassiahead_daemon import wire
 from cassiahead_protocol import api
 from cassiahead_protocol import codec
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
 
 __all__ = ["EXCHANGE_PATH", "INTERVAL_S", "Exchanger"]
 
--- a/packages/daemon/src/cassiahead_daemon/gate.py
+++ b/packages/daemon/src/cassiahead_daemon/gate.py
@@ -12,13 +12,13 @@
 
 import attrs
 
-from cassiahead_daemon import clock
 from cassiahead_daemon import errors
-from cassiahead_daemon import events
 from cassiahead_daemon import telemetry as telemetry_lib
 from cassiahead_decisions import concurrency
 from cassiahead_decisions import fair_queue
 from cassiahead_protocol import api
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/packages/daemon/src/cassiahead_daemon/handlers.py
+++ b/packages/daemon/src/cassiahead_daemon/handlers.py
@@ -14,15 +14,15 @@
 from tornado import web
 
 from cassiahead_daemon import admission
-from cassiahead_daemon import clock
 from cassiahead_daemon import entry as entry_lib
 from cassiahead_daemon import errors
-from cassiahead_daemon import events
 from cassiahead_daemon import exchanger as exchanger_lib
 from cassiahead_daemon import orders
 from cassiahead_daemon import relay as relay_lib
 from cassiahead_protocol import api
 from cassiahead_protocol import codec
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
 
 __all__ = ["JsonHandler", "caller_routes", "inner_routes"]
 
--- a/packages/daemon/src/cassiahead_daemon/main.py
+++ b/packages/daemon/src/cassiahead_daemon/main.py
@@ -11,8 +11,8 @@
 import cappa
 
 from cassiahead_daemon import application
-from cassiahead_daemon import events
 from cassiahead_daemon import settings as settings_lib
+from cassiahead_telemetry import events
 
 __all__ = ["Cassiahead", "main"]
 
--- a/packages/daemon/src/cassiahead_daemon/node.py
+++ b/packages/daemon/src/cassiahead_daemon/node.py
@@ -9,16 +9,16 @@
 
 import attrs
 
-from cassiahead_daemon import clock
-from cassiahead_daemon import events
 from cassiahead_daemon import settings as settings_lib
 from cassiahead_daemon import telemetry as telemetry_lib
-from cassiahead_daemon import wire
 from cassiahead_decisions import membership
 from cassiahead_decisions import peering as peering_lib
 from cassiahead_decisions import relay_watch as relay_watch_lib
 from cassiahead_notes import api as notes
 from cassiahead_protocol import api
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/daemon/src/cassiahead_daemon/operator_handlers.py
+++ b/packages/daemon/src/cassiahead_daemon/operator_handlers.py
@@ -9,9 +9,9 @@
 
 import cattrs
 
-from cassiahead_daemon import clock
 from cassiahead_daemon import handlers
 from cassiahead_notes import codec as notes_codec
+from cassiahead_wire import clock
 
 if TYPE_CHECKING:
     from cassiahead_daemon import entry as entry_lib
--- a/packages/daemon/src/cassiahead_daemon/orders.py
+++ b/packages/daemon/src/cassiahead_daemon/orders.py
@@ -7,16 +7,16 @@
 
 import attrs
 
-from cassiahead_daemon import clock
 from cassiahead_daemon import errors
-from cassiahead_daemon import events
 from cassiahead_daemon import node as node_lib
 from cassiahead_daemon import scatter as scatter_lib
-from cassiahead_daemon import wire
 from cassiahead_decisions import once
 from cassiahead_decisions import replicas as replicas_lib
 from cassiahead_protocol import api
 from cassiahead_protocol import codec
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
 
 if TYPE_CHECKING:
     from cassiahead_daemon import context as context_lib
--- a/packages/daemon/src/cassiahead_daemon/platform.py
+++ b/packages/daemon/src/cassiahead_daemon/platform.py
@@ -15,14 +15,14 @@
 
 import attrs
 
-from cassiahead_daemon import clock
-from cassiahead_daemon import events
 from cassiahead_daemon import node as node_lib
-from cassiahead_daemon import wire
 from cassiahead_notes import codec
 from cassiahead_notes import errors
 from cassiahead_notes import ledger
 from cassiahead_notes import published
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
 
 __all__ = ["PlatformReader"]
 
--- a/packages/daemon/src/cassiahead_daemon/query.py
+++ b/packages/daemon/src/cassiahead_daemon/query.py
@@ -9,10 +9,8 @@
 
 import attrs
 
-from cassiahead_daemon import clock
 from cassiahead_daemon import context as context_lib
 from cassiahead_daemon import errors
-from cassiahead_daemon import events
 from cassiahead_daemon import knowledge as knowledge_lib
 from cassiahead_daemon import node as node_lib
 from cassiahead_daemon import scatter as scatter_lib
@@ -20,6 +18,8 @@
 from cassiahead_decisions import retries
 from cassiahead_decisions import snapshot as snapshot_lib
 from cassiahead_protocol import api
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
 
 if TYPE_CHECKING:
     from cassiahead_decisions import concurrency
--- a/packages/daemon/src/cassiahead_daemon/relay.py
+++ b/packages/daemon/src/cassiahead_daemon/relay.py
@@ -7,12 +7,12 @@
 
 import attrs
 
-from cassiahead_daemon import clock
 from cassiahead_daemon import node as node_lib
 from cassiahead_daemon import target_pool
 from cassiahead_decisions import targets
 from cassiahead_notes import consequence
 from cassiahead_protocol import api
+from cassiahead_wire import clock
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
--- a/packages/daemon/src/cassiahead_daemon/scatter.py
+++ b/packages/daemon/src/cassiahead_daemon/scatter.py
@@ -6,15 +6,15 @@
 
 import attrs
 
-from cassiahead_daemon import clock
-from cassiahead_daemon import events
 from cassiahead_daemon import node as node_lib
 from cassiahead_daemon import relay as relay_lib
-from cassiahead_daemon import wire
 from cassiahead_decisions import homes as homes_lib
 from cassiahead_decisions import targets
 from cassiahead_protocol import api
 from cassiahead_protocol import codec
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
 
 if TYPE_CHECKING:
     import asyncio
--- a/packages/daemon/src/cassiahead_daemon/settings.py
+++ b/packages/daemon/src/cassiahead_daemon/settings.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
 import json
 from typing import TYPE_CHECKING
 
 import attrs
 
 from cassiahead_notes import codec
+from cassiahead_wire import addresses
 
 if TYPE_CHECKING:
     import pathlib
 
-__all__ = ["Role", "Settings", "SettingsError", "load", "split_address"]
-
-_MAX_PORT = 65535
+__all__ = ["Role", "Settings", "SettingsError", "load"]
 
 
 class SettingsError(Exception):
@@ -89,20 +87,6 @@
     return settings
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits an address into IP number and port.
-
-    Raises:
-        ValueError: If it is no IP number with a port.
-    """
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    ipaddress.ip_address(host)
-    if not 0 < int(port) <= _MAX_PORT:
-        raise ValueError(f"port {port} is out of range")
-    return host, int(port)
-
-
 def _faults(settings: Settings) -> list[tuple[str, str]]:
     faults = []
     for name in ("inner", "operators", "platform", "callers"):
@@ -110,7 +94,7 @@
         if address is None:
             continue
         try:
-            split_address(address)
+            addresses.split_address(address)
         except ValueError:
             faults.append(
                 (f"$.{name}", f"{address!r} is no IP number with a port")
--- a/packages/daemon/src/cassiahead_daemon/target_connections.py
+++ b/packages/daemon/src/cassiahead_daemon/target_connections.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from cassiahead_daemon import clock
-from cassiahead_daemon import events
-from cassiahead_daemon import wire
 from cassiahead_decisions import targets
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
 
 __all__ = ["TargetConnections"]
 
--- a/packages/daemon/src/cassiahead_daemon/target_pool.py
+++ b/packages/daemon/src/cassiahead_daemon/target_pool.py
@@ -9,16 +9,16 @@
 
 import attrs
 
-from cassiahead_daemon import clock
-from cassiahead_daemon import events
 from cassiahead_daemon import node as node_lib
 from cassiahead_daemon import target_connections
 from cassiahead_daemon import target_messages
-from cassiahead_daemon import wire
 from cassiahead_decisions import fair_queue
 from cassiahead_decisions import targets
 from cassiahead_notes import consequence
 from cassiahead_protocol import api
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
 
 if TYPE_CHECKING:
     from cassiahead_notes import api as notes
--- a/packages/daemon/src/cassiahead_daemon/telemetry.py
+++ b/packages/daemon/src/cassiahead_daemon/telemetry.py
@@ -12,7 +12,7 @@
 import prometheus_client
 
 from cassiahead_daemon import errors
-from cassiahead_daemon import events
+from cassiahead_telemetry import events
 
 __all__ = ["DecisionLog", "Metrics", "Telemetry"]
 
--- a/packages/daemon/tests/standins/load.py
+++ b/packages/daemon/tests/standins/load.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cassiahead_daemon import wire
+from cassiahead_wire import connection as wire
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/packages/daemon/tests/unit/test_catalogue.py
+++ b/packages/daemon/tests/unit/test_catalogue.py
@@ -6,8 +6,8 @@
 import re
 
 from cassiahead_daemon import errors
-from cassiahead_daemon import events
 from cassiahead_notes import errors as note_errors
+from cassiahead_telemetry import events
 
 _DOCS = pathlib.Path(__file__).parents[4] / "docs"
 _ROW = re.compile(r"^\| (\w+) \| (\w+) \|", re.MULTILINE)
--- a/packages/decisions/src/cassiahead_decisions/hedging.py
+++ b/packages/decisions/src/cassiahead_decisions/hedging.py
@@ -19,8 +19,13 @@
 
 @attrs.define
 class LatencyWindow:
-    """The recent latencies of one shard, in seconds."""
+    """The recent latencies of one shard, in seconds.
 
+    Attributes:
+        quantile: Part of the latencies that stay below the hedge delay.
+    """
+
+    quantile: float = _QUANTILE
     _samples: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=_WINDOW)
     )
@@ -50,7 +55,7 @@
             return
         ordered = sorted(self._samples)
         self._delay = max(
-            _MIN_DELAY_S, ordered[int(_QUANTILE * (len(ordered) - 1))]
+            _MIN_DELAY_S, ordered[int(self.quantile * (len(ordered) - 1))]
         )
 
 
@@ -66,6 +71,19 @@
     reserve: float = 20.0
     _credit: float = 20.0
 
+    @classmethod
+    def empty(cls, fraction: float, reserve: float) -> ExtraLoadBudget:
+        """Creates a budget that has to be earned first.
+
+        A process that restarts must not bring a second reserve.
+        """
+        return cls(fraction, reserve, 0.0)
+
+    @property
+    def credit(self) -> float:
+        """Extra attempts that are allowed now."""
+        return self._credit
+
     def first_attempts(self, count: int) -> None:
         """Earns credit for first attempts."""
         self._credit = min(self.reserve, self._credit + count * self.fraction)
--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Mapping
 
     from cassiahead_notes import api
 
@@ -91,6 +92,7 @@
 
     failure_domain: str
     _rng: random.Random
+    _longest_ejection_s: float = _EJECTION_MAX_S
     _seen: dict[str, _Seen] = attrs.field(factory=dict)
 
     def choose(
@@ -106,7 +108,19 @@
             configuration: What is in force.
             now: Time on this process's clock.
         """
-        pool = sorted(targets)
+        domains = {t: configuration.targets[t].failure_domain for t in targets}
+        return self.choose_among(domains, now)
+
+    def choose_among(
+        self, domains: Mapping[str, str], now: float
+    ) -> str | None:
+        """Returns the better of two replicas drawn at random.
+
+        Args:
+            domains: Failure domain of each replica to choose from.
+            now: Time on this process's clock.
+        """
+        pool = sorted(domains)
         if not pool:
             return None
         panic = self._panics(now)
@@ -117,9 +131,7 @@
             pool = self._rng.sample(pool, 2)
         return min(
             pool,
-            key=lambda t: self._cost(
-                t, configuration.targets[t].failure_domain, panic, now
-            ),
+            key=lambda t: self._cost(t, domains[t], panic, now),
         )
 
     def avoids(self, target: str, now: float) -> bool:
@@ -160,7 +172,21 @@
         seen.outstanding = max(0, seen.outstanding - 1)
         pause = _EJECTION_FIRST_S * 2**seen.failures
         seen.failures = min(seen.failures + 1, 10)
-        seen.ejected_until = now + min(pause, _EJECTION_MAX_S)
+        seen.ejected_until = now + min(pause, self._longest_ejection_s)
+
+    def outlasted(self, target: str, elapsed: float, now: float) -> None:
+        """Notes a request that was cancelled without an answer so far.
+
+        Its latency would have been longer than the time that it had.
+        """
+        seen = self._entry(target, now)
+        seen.outstanding = max(0, seen.outstanding - 1)
+        if elapsed > seen.estimate(now):
+            seen.observe(elapsed, now)
+
+    def forget(self, target: str) -> None:
+        """Drops what is held of a target that is gone."""
+        self._seen.pop(target, None)
 
     def abandoned(self, target: str, now: float) -> None:
         """Notes a request that was cancelled, without blame."""
--- /dev/null
+++ b/packages/gateway/src/cassiahead_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: one process a host that asks the targets itself."""
--- /dev/null
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -0,0 +1,192 @@
+"""One attempt: a request sent to one target, and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+from tornado import httputil
+
+from cassiahead_decisions import replicas
+from cassiahead_gateway import headers as headers_lib
+from cassiahead_gateway import links as links_lib
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
+
+if TYPE_CHECKING:
+    from cassiahead_gateway import api
+
+__all__ = ["Answered", "Lost", "NotRun", "Outcome", "Outgoing", "Sender"]
+
+_NOT_FOUND_HERE = 421
+_SERVER_ERROR = 500
+
+
+@attrs.frozen(eq=False)
+class Outgoing:
+    """A request as targets get it, but for what is left of its time.
+
+    Attributes:
+        request_id: The caller's identifier of this attempt.
+        method: HTTP method.
+        path: Path with query, as the caller sent it.
+        headers: Headers for any target.
+        body: The body.
+        deadline: When the caller's time has run, on this process's clock.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    deadline: float
+
+
+@attrs.frozen(eq=False)
+class Answered:
+    """A target's own whole answer, good or bad.
+
+    Attributes:
+        response: The answer.
+        stamp: The target's signature; empty if it gave none.
+    """
+
+    response: wire.Response
+    stamp: str
+
+    @property
+    def good(self) -> bool:
+        """Whether the target ran the request and succeeded."""
+        return 200 <= self.response.status < 300 and bool(self.stamp)
+
+
+@attrs.frozen
+class NotRun:
+    """The target certainly did not run the request.
+
+    Attributes:
+        reason: Why, for the log.
+        arrived: Whether the target saw the request.
+    """
+
+    reason: str
+    arrived: bool
+
+
+@attrs.frozen
+class Lost:
+    """No usable answer; the target may have run the request."""
+
+    reason: str
+
+
+Outcome = Answered | NotRun | Lost
+
+
+@attrs.define(eq=False)
+class Sender:
+    """Sends requests to targets and keeps account of how they do."""
+
+    _names: headers_lib.HeaderNames
+    _links: links_lib.Links
+    _chooser: replicas.ReplicaChooser
+
+    async def send(
+        self, target: api.Target, request: Outgoing, timeout: float
+    ) -> Outcome:
+        """Sends a request to a target.
+
+        If this is cancelled, the target is made to stop.
+
+        Args:
+            target: The target.
+            request: The request.
+            timeout: Seconds until the answer must be complete.
+        """
+        started = clock.now()
+        self._chooser.sent(target.id, started)
+        connection = None
+        try:
+            connection = await self._links.take(target.id, target.address)
+            response = await connection.exchange(
+                request.method,
+                request.path,
+                request.body,
+                started + timeout - clock.now(),
+                self._headers(target, request),
+            )
+        except wire.WireError as error:
+            return self._failed(target, connection, error, started)
+        except asyncio.CancelledError:
+            now = clock.now()
+            self._chooser.outlasted(target.id, now - started, now)
+            if connection is not None:
+                self._links.leave(target.id, connection)
+            raise
+        return self._received(target, request, connection, response, started)
+
+    def _headers(
+        self, target: api.Target, request: Outgoing
+    ) -> httputil.HTTPHeaders:
+        headers = request.headers.copy()
+        left_ms = max(1, int((request.deadline - clock.now()) * 1000))
+        headers[self._names.deadline_ms] = str(left_ms)
+        headers[self._names.expected_target] = target.id
+        return headers
+
+    def _failed(
+        self,
+        target: api.Target,
+        connection: wire.Connection | None,
+        error: wire.WireError,
+        started: float,
+    ) -> Outcome:
+        now = clock.now()
+        if connection is not None:
+            self._links.drop(target.id, connection)
+        if error.fault is wire.Fault.TIMEOUT:
+            self._chooser.outlasted(target.id, now - started, now)
+        else:
+            self._chooser.failed(target.id, now)
+        if not error.sent:
+            return NotRun(f"no connection: {error.fault}", arrived=False)
+        return Lost(error.fault.value)
+
+    def _received(
+        self,
+        target: api.Target,
+        request: Outgoing,
+        connection: wire.Connection,
+        response: wire.Response,
+        started: float,
+    ) -> Outcome:
+        now = clock.now()
+        names = self._names
+        fault = self._fault(request, response)
+        if fault is not None:
+            self._links.drop(target.id, connection)
+            self._chooser.failed(target.id, now)
+            return Lost(fault)
+        self._links.put_back(target.id, connection)
+        if names.not_run in response.headers:
+            self._chooser.failed(target.id, now)
+            return NotRun(f"target said {response.status}", arrived=True)
+        if response.status == _NOT_FOUND_HERE:
+            self._chooser.failed(target.id, now)
+            return NotRun("the address is another target's", arrived=True)
+        if response.status >= _SERVER_ERROR:
+            self._chooser.failed(target.id, now)
+        else:
+            self._chooser.answered(target.id, now - started, now)
+        return Answered(response, response.headers.get(names.stamp, ""))
+
+    def _fault(self, request: Outgoing, response: wire.Response) -> str | None:
+        """Returns why an answer is not one to this request, if so."""
+        answered_id = response.headers.get(self._names.request_id)
+        if answered_id is not None and answered_id != request.request_id:
+            return "answer to another request"
+        if "Content-Encoding" in response.headers:
+            return "answer with an encoding that was not asked for"
+        return None
--- /dev/null
+++ b/packages/gateway/src/cassiahead_gateway/context.py
@@ -0,0 +1,213 @@
+"""What the parts of one gateway share."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cassiahead_decisions import cold_guard
+from cassiahead_decisions import fleet_quota
+from cassiahead_decisions import hedging
+from cassiahead_decisions import peer_table
+from cassiahead_decisions import replicas
+from cassiahead_decisions import traffic_split
+from cassiahead_gateway import attempts
+from cassiahead_gateway import catalogue as catalogue_lib
+from cassiahead_gateway import links as links_lib
+from cassiahead_gateway import metrics as metrics_lib
+from cassiahead_gateway import settings as settings_lib
+from cassiahead_wire import clock
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from cassiahead_gateway import api
+    from cassiahead_gateway import published
+
+__all__ = ["Context"]
+
+# Part of the fleet's bound on extra requests that is used, since hosts do not
+# know exactly how many they are.
+_BUDGET_USED = 0.85
+# Hosts assumed before any was heard.
+_LEAST_FLEET = 4
+# A target that failed is asked again at least this often, in seconds: crashed
+# ones are back, or their entries gone, within about that time.
+_LONGEST_EJECTION_S = 4.0
+# Part of a route's attempts that are answered before a second replica is
+# asked; the rest is within the budget for extra requests.
+_HEDGE_QUANTILE = 0.9
+# Latest time for a hedge, as a part of the target latency: its answer must
+# still come in time.
+_LATEST_HEDGE = 0.4
+
+
+@attrs.define(eq=False)
+class Context:
+    """One gateway: who it is, what it believes, and its decisions' state.
+
+    Attributes:
+        settings: The settings.
+        process: Name of this process, new at each start.
+        rng: Random numbers for all decisions.
+        catalogue: What is believed of configuration and targets.
+        peers: The fleet's other processes.
+        quota: Tokens of client accounts over the fleet.
+        links: Connections to targets.
+        chooser: Which replica is asked.
+        sender: Sends attempts.
+        cold: What targets in cold start are given.
+        metrics: Counters and histograms.
+    """
+
+    settings: settings_lib.Settings
+    process: str
+    rng: random.Random
+    catalogue: catalogue_lib.Catalogue
+    peers: peer_table.PeerTable
+    quota: fleet_quota.FleetQuota
+    links: links_lib.Links
+    chooser: replicas.ReplicaChooser
+    sender: attempts.Sender
+    cold: cold_guard.ColdGuard
+    metrics: metrics_lib.Metrics
+    _budgets: dict[str, hedging.ExtraLoadBudget] = attrs.field(factory=dict)
+    _windows: dict[str, hedging.LatencyWindow] = attrs.field(factory=dict)
+    _splits: dict[str, traffic_split.TrafficSplit] = attrs.field(factory=dict)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: settings_lib.Settings,
+        decode: published.Decoder,
+        rng: random.Random,
+    ) -> Context:
+        """Creates the state of a process that knows nothing yet."""
+        process = f"{settings.name}-{rng.getrandbits(48):012x}"
+        links = links_lib.Links()
+        chooser = replicas.ReplicaChooser(
+            settings.failure_domain, rng, _LONGEST_EJECTION_S
+        )
+        quota = fleet_quota.FleetQuota()
+        guard = cold_guard.ColdGuard(settings.cold.slack, process)
+
+        def on_configuration(configuration: api.Configuration) -> None:
+            limits = {
+                account.name: fleet_quota.Limit(
+                    account.rate_per_s, account.burst
+                )
+                for account in configuration.accounts.values()
+            }
+            quota.set_limits(limits, clock.now())
+
+        def on_target_gone(target: str) -> None:
+            links.close_target(target)
+            chooser.forget(target)
+            guard.forget(target)
+
+        return cls(
+            settings=settings,
+            process=process,
+            rng=rng,
+            catalogue=catalogue_lib.Catalogue(
+                decode, on_configuration, on_target_gone
+            ),
+            peers=peer_table.PeerTable(process, settings.peers),
+            quota=quota,
+            links=links,
+            chooser=chooser,
+            sender=attempts.Sender(settings.headers, links, chooser),
+            cold=guard,
+            metrics=metrics_lib.Metrics(),
+        )
+
+    def fleet_size(self) -> int:
+        """Returns the number of hosts to divide the fleet's bounds by."""
+        return max(_LEAST_FLEET, self.peers.size())
+
+    def budget(self, service: str) -> hedging.ExtraLoadBudget:
+        """Returns the budget for extra requests to a service."""
+        bound = self.settings.retries
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = hedging.ExtraLoadBudget.empty(
+                _BUDGET_USED * bound.ratio, 0.0
+            )
+            self._budgets[service] = budget
+        budget.reserve = _BUDGET_USED * bound.slack / self.fleet_size()
+        return budget
+
+    def window(self, route: str) -> hedging.LatencyWindow:
+        """Returns the recent latencies of a route's attempts."""
+        window = self._windows.get(route)
+        if window is None:
+            window = hedging.LatencyWindow(_HEDGE_QUANTILE)
+            self._windows[route] = window
+        return window
+
+    def hedge_delay(self, route: api.Route) -> float:
+        """Returns the seconds after which a second replica is asked."""
+        learnt = self.window(route.name).hedge_delay
+        return min(learnt, _LATEST_HEDGE * route.target_latency_s)
+
+    def split(self, route: str) -> traffic_split.TrafficSplit:
+        """Returns the running split of a route."""
+        return self._splits.setdefault(route, traffic_split.TrafficSplit())
+
+    def choose(
+        self, service: str, tried: Collection[str], homes: Collection[str]
+    ) -> api.Target | None:
+        """Chooses the target of a service that is asked next.
+
+        Args:
+            service: The service.
+            tried: Targets that this request was sent to already.
+            homes: Regions whose targets may run it; empty for all.
+
+        Returns:
+            The target; None if none may be asked now.
+        """
+        now = clock.now()
+        usable = self._usable(service, homes)
+        fresh = [t for t in usable if t.id not in tried]
+        warm = [t for t in fresh if not self.catalogue.is_cold(t.id, now)]
+        if warm:
+            return self._best(warm, now)
+        others = [p.process for p in self.peers.heard(now)]
+        for target in fresh:
+            if self.cold.allows(target.id, others, now):
+                return target
+        return None
+
+    def has_targets(self, service: str, homes: Collection[str]) -> bool:
+        """Returns whether a service has a target that is not avoided."""
+        now = clock.now()
+        return any(
+            not self.chooser.avoids(t.id, now)
+            for t in self._usable(service, homes)
+        )
+
+    def _usable(self, service: str, homes: Collection[str]) -> list[api.Target]:
+        router = self.catalogue.router
+        described = router and router.configuration.services.get(service)
+        if not described:
+            return []
+        cap = links_lib.connection_cap(
+            described.max_connections, self.fleet_size()
+        )
+        regions = self.settings.regions
+        return [
+            t
+            for t in self.catalogue.targets(service)
+            if self.links.room(t.id, cap)
+            and (not homes or regions.get(t.failure_domain) in homes)
+        ]
+
+    def _best(self, warm: list[api.Target], now: float) -> api.Target:
+        by_id = {t.id: t for t in warm}
+        domains = {t.id: t.failure_domain for t in warm}
+        chosen = self.chooser.choose_among(domains, now)
+        assert chosen is not None
+        return by_id[chosen]
--- /dev/null
+++ b/packages/gateway/src/cassiahead_gateway/exchange.py
@@ -0,0 +1,254 @@
+"""Exchanges with peers: who is there, what is published, what was admitted."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import math
+
+import attrs
+
+from cassiahead_decisions import peer_table
+from cassiahead_gateway import context as context_lib
+from cassiahead_gateway import http_server
+from cassiahead_gateway import messages
+from cassiahead_gateway import records as records_lib
+from cassiahead_telemetry import events
+from cassiahead_wire import clock
+from cassiahead_wire import connection as wire
+
+__all__ = ["Exchange"]
+
+_PATH = "/exchange"
+_INTERVAL_S = 0.25
+_TIMEOUT_S = 0.5
+# The process with the lower address begins the exchanges of a pair; the other
+# one does so if it heard nothing for this long.
+_QUIET_S = 0.6
+# Addresses where nobody answers are tried this often.
+_ABSENT_INTERVAL_S = 1.0
+
+
+@attrs.define(eq=False)
+class _Line:
+    """The exchanges with one address."""
+
+    pool: wire.ConnectionPool
+    tried_at: float = -math.inf
+    revision: int = 0
+    busy: bool = False
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """Exchanges heartbeats with all peers.
+
+    Attributes:
+        reading: Tells whether this process reads the platform's service.
+        leaving: Whether this process is shutting down.
+    """
+
+    _context: context_lib.Context
+    reading: Callable[[], bool]
+    leaving: bool = False
+    _lines: dict[str, _Line] = attrs.field(factory=dict)
+    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _heard: set[str] = attrs.field(factory=set)
+    _adopted: bool = False
+
+    async def run(self) -> None:
+        """Exchanges heartbeats for as long as the process runs."""
+        while True:
+            now = clock.now()
+            self._note_lost(now)
+            for address in self._context.peers.addresses():
+                if self._is_due(address, now):
+                    self._begin(address, now)
+            self._context.peers.forget_silent(now)
+            self._context.quota.forget_silent(now)
+            await asyncio.sleep(_INTERVAL_S)
+
+    def seed(self) -> None:
+        """Notes the addresses where peers may be, by the settings."""
+        now = clock.now()
+        for address in self._context.settings.seeds:
+            self._context.peers.add_address(address, now)
+
+    def tell_all(self) -> None:
+        """Exchanges with everyone at once, such as after news."""
+        now = clock.now()
+        for address in self._context.peers.addresses():
+            line = self._line(address)
+            if not line.busy:
+                self._begin(address, now)
+
+    async def handle(self, request: http_server.Request) -> http_server.Reply:
+        """Answers a peer's heartbeat."""
+        if request.path != _PATH or request.method != "POST":
+            return http_server.plain_reply(404)
+        try:
+            heartbeat = messages.decode(request.body)
+        except messages.MessageError as error:
+            events.log(events.Event.INNER_MESSAGE_MALFORMED, detail=str(error))
+            return http_server.plain_reply(400)
+        is_new = heartbeat.process not in self._heard
+        self._take(heartbeat)
+        answer = self._heartbeat(heartbeat.at, is_new)
+        return http_server.plain_reply(
+            200, messages.encode(answer), "application/json"
+        )
+
+    def close(self) -> None:
+        """Closes all connections to peers."""
+        for task in self._tasks:
+            task.cancel()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes idle connections, such as after a pause."""
+        for line in self._lines.values():
+            line.pool.close()
+
+    def _is_due(self, address: str, now: float) -> bool:
+        line = self._line(address)
+        if line.busy:
+            return False
+        peer = self._context.peers.at(address)
+        if peer is None or now - peer.heard_at > 2 * _ABSENT_INTERVAL_S:
+            return now - line.tried_at >= _ABSENT_INTERVAL_S
+        if self._context.settings.peers < address:
+            return True
+        return now - peer.heard_at >= _QUIET_S
+
+    def _line(self, address: str) -> _Line:
+        line = self._lines.get(address)
+        if line is None:
+            line = _Line(wire.ConnectionPool(address))
+            self._lines[address] = line
+        return line
+
+    def _begin(self, address: str, now: float) -> None:
+        line = self._line(address)
+        line.busy = True
+        line.tried_at = now
+        task = asyncio.ensure_future(self._exchange(address, line))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _exchange(self, address: str, line: _Line) -> None:
+        peer = self._context.peers.at(address)
+        own = self._heartbeat(line.revision, peer is None)
+        try:
+            response = await line.pool.exchange(
+                _PATH, messages.encode(own), _TIMEOUT_S
+            )
+            heartbeat = messages.decode(response.body)
+        except wire.WireError as error:
+            self._context.metrics.exchanges.add(1, {"result": error.fault})
+            return
+        except messages.MessageError as error:
+            events.log(
+                events.Event.INNER_MESSAGE_MALFORMED,
+                peer=address,
+                detail=str(error),
+            )
+            return
+        finally:
+            line.busy = False
+        self._context.metrics.exchanges.add(1, {"result": "ok"})
+        line.revision = max(heartbeat.at, own.at)
+        self._take(heartbeat)
+        if heartbeat.at < own.at and own.changes is None:
+            # The peer lacks records that it was not known to lack.
+            line.revision = heartbeat.at
+            self._begin(address, clock.now())
+
+    def _heartbeat(self, known: int, is_new: bool) -> messages.Heartbeat:
+        """Returns what this process says to one that knows a revision."""
+        now = clock.now()
+        context = self._context
+        catalogue = context.catalogue
+        age = catalogue.age(now)
+        changes = None
+        complete = False
+        if catalogue.at > 0 and known < catalogue.at:
+            lacking = catalogue.since(known)
+            complete = lacking.complete
+            changes = [
+                messages.RecordChange(c.key, c.revision, c.value)
+                for c in lacking.changes
+            ]
+        return messages.Heartbeat(
+            process=context.process,
+            address=context.settings.peers,
+            at=catalogue.at,
+            age=None if math.isinf(age) else round(age, 3),
+            reading=self.reading(),
+            leaving=self.leaving,
+            addresses=context.peers.addresses() if is_new else [],
+            admitted=context.quota.report(now, is_new),
+            tokens=context.quota.tokens(now) if is_new else None,
+            changes=changes,
+            complete=complete,
+        )
+
+    def _take(self, heartbeat: messages.Heartbeat) -> None:
+        now = clock.now()
+        context = self._context
+        self._hear(heartbeat, now)
+        self._line(heartbeat.address).revision = heartbeat.at
+        age = math.inf if heartbeat.age is None else heartbeat.age
+        if heartbeat.changes is not None:
+            changes = records_lib.Changes(
+                heartbeat.at,
+                tuple(
+                    records_lib.Change(c.key, c.revision, c.value)
+                    for c in heartbeat.changes
+                ),
+                heartbeat.complete,
+            )
+            context.catalogue.apply(changes, age, heartbeat.process, now)
+        elif heartbeat.age is not None:
+            context.catalogue.confirm(heartbeat.at, age, now)
+        if heartbeat.tokens is not None and not self._adopted:
+            self._adopted = True
+            context.quota.adopt(heartbeat.tokens)
+        context.quota.hear(heartbeat.process, heartbeat.admitted, now)
+
+    def _hear(self, heartbeat: messages.Heartbeat, now: float) -> None:
+        peers = self._context.peers
+        for address in heartbeat.addresses:
+            peers.add_address(address, now)
+        replaced = peers.hear(
+            peer_table.Peer(
+                process=heartbeat.process,
+                address=heartbeat.address,
+                heard_at=now,
+                revision=heartbeat.at,
+                reading=heartbeat.reading,
+                leaving=heartbeat.leaving,
+            )
+        )
+        if replaced is not None:
+            self._context.quota.end_peer(replaced)
+            self._heard.discard(replaced)
+            events.log(
+                events.Event.PEER_REPLACED,
+                peer=heartbeat.process,
+                replaced=replaced,
+            )
+        if heartbeat.process not in self._heard:
+            self._heard.add(heartbeat.process)
+            events.log(
+                events.Event.PEER_HEARD,
+                peer=heartbeat.process,
+                address=heartbeat.address,
+                at=heartbeat.at,
+                fleet=peers.size(),
+            )
+
+    def _note_lost(self, now: float) -> None:
+        heard = {p.process for p in self._context.peers.heard(now)}
+        for process in sorted(self._heard - heard):
+            self._heard.discard(process)
+            events.log(events.Event.PEER_LOST, peer=process, heard=len(heard))
--- /dev/null
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -0,0 +1,182 @@
+"""An HTTP server whose handler is one coroutine a request.
+
+The handler is cancelled when the client closes its connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import http
+from typing import TYPE_CHECKING
+
+import attrs
+from tornado import httpserver
+from tornado import httputil
+
+from cassiahead_wire import addresses
+from cassiahead_wire import clock
+
+if TYPE_CHECKING:
+    from tornado import http1connection
+
+__all__ = ["Handler", "HttpServer", "Reply", "Request", "plain_reply"]
+
+# Platform limits on headers and bodies are checked with the configuration; the
+# parser's own bounds only protect memory.
+_MAX_HEADER_BYTES = 64 * 1024
+_MAX_BODY_BYTES = 8 * 1024 * 1024
+_IDLE_TIMEOUT_S = 60.0
+
+
+@attrs.frozen(eq=False)
+class Request:
+    """A whole HTTP request.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with query, as it was sent.
+        headers: All headers.
+        body: The body.
+        received_at: When its headers were read, on this process's clock.
+    """
+
+    method: str
+    path: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    received_at: float
+
+
+@attrs.frozen(eq=False)
+class Reply:
+    """A whole HTTP response."""
+
+    status: int
+    headers: httputil.HTTPHeaders
+    body: bytes
+
+
+Handler = Callable[[Request], Awaitable[Reply]]
+
+
+def plain_reply(
+    status: int, body: bytes = b"", content_type: str = "text/plain"
+) -> Reply:
+    """Returns a response of the gateway's own."""
+    headers = httputil.HTTPHeaders({"Content-Type": content_type})
+    return Reply(status, headers, body)
+
+
+class HttpServer(httputil.HTTPServerConnectionDelegate):
+    """One listening address."""
+
+    def __init__(self, address: str, handler: Handler) -> None:
+        """Creates a server that does not listen yet."""
+        self._address = address
+        self._handler = handler
+        self._server = httpserver.HTTPServer(
+            self,
+            max_header_size=_MAX_HEADER_BYTES,
+            max_body_size=_MAX_BODY_BYTES,
+            idle_connection_timeout=_IDLE_TIMEOUT_S,
+        )
+        self.closing = False
+
+    def listen(self) -> None:
+        """Begins to listen."""
+        host, port = addresses.split_address(self._address)
+        self._server.listen(port, host, backlog=512)
+
+    def stop_listening(self) -> None:
+        """Takes no more connections; open ones go on."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Begins to read a request."""
+        del server_conn
+        return _Exchange(self, self._handler, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Does nothing: each exchange notices by itself."""
+
+
+class _Exchange(httputil.HTTPMessageDelegate):
+    def __init__(
+        self,
+        server: HttpServer,
+        handler: Handler,
+        connection: httputil.HTTPConnection,
+    ) -> None:
+        self._server = server
+        self._handler = handler
+        self._connection = connection
+        self._start: httputil.RequestStartLine | None = None
+        self._headers = httputil.HTTPHeaders()
+        self._chunks: list[bytes] = []
+        self._received_at = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._start = start_line
+        self._headers = headers
+        self._received_at = clock.now()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        assert self._start is not None
+        request = Request(
+            self._start.method,
+            self._start.path,
+            self._headers,
+            b"".join(self._chunks),
+            self._received_at,
+        )
+        self._task = asyncio.ensure_future(self._serve(request))
+
+    def on_connection_close(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _serve(self, request: Request) -> None:
+        reply = await self._handler(request)
+        headers = reply.headers
+        headers["Content-Length"] = str(len(reply.body))
+        if self._server.closing:
+            headers["Connection"] = "close"
+        reason = _reason(reply.status)
+        start = httputil.ResponseStartLine("HTTP/1.1", reply.status, reason)
+        body = b"" if request.method == "HEAD" else reply.body
+        connection: http1connection.HTTP1Connection = self._connection  # type: ignore[assignment]
+        # Nobody waits for the write: a client that has gone is noticed by
+        # the connection itself.
+        written = connection.write_headers(start, headers, body)
+        written.add_done_callback(_ignore_failure)
+        connection.finish()
+
+
+def _ignore_failure(future: asyncio.Future[None]) -> None:
+    if not future.cancelled():
+        future.exception()
+
+
+def _reason(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- /dev/null
+++ b/packages/gateway/src/cassiahead_gateway/search.py
@@ -0,0 +1,312 @@
+"""Requests to targets on behalf of a caller, by the route's destination."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+from tornado import httputil
+
+from cassiahead_decisions import gathering
+from cassiahead_gateway import api
+from cassiahead_gateway import attempts
+from cassiahead_gateway import context as context_lib
+from cassiahead_gateway import errors
+from cassiahead_gateway import headers as headers_lib
+from cassiahead_gateway import http_server
+from cassiahead_gateway import service_call
+from cassiahead_wire import clock
+
+__all__ = ["Forward", "Search", "Trace"]
+
+# From the target latency are taken the way back to the caller, the way here of
+# a caller that had to connect first, and the merge.
+_LATE_MARGIN_S = 0.015
+# How often a call that found no target with room looks again.
+_LOOK_AGAIN_S = 0.01
+# Part of the target latency for which a call may wait for room.
+_ROOM_PATIENCE = 0.25
+# Most rounds of hedges for one request.
+_HEDGE_ROUNDS = 3
+_SHED_RETRY_AFTER_S = 0.3
+_NO_TARGET_RETRY_AFTER_S = 0.5
+
+
+@attrs.define
+class Trace:
+    """What a request's line in the log tells of its targets."""
+
+    parts: int = 0
+    present: int = 0
+    sends: int = 0
+    missing: list[str] = attrs.field(factory=list)
+    targets: list[str] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class _Wait:
+    """Timers of one request, and what ends its wait."""
+
+    ended: asyncio.Future[None]
+    _timers: list[asyncio.TimerHandle] = attrs.field(factory=list)
+
+    @classmethod
+    def begin(cls) -> _Wait:
+        """Creates a wait without timers."""
+        return cls(asyncio.get_running_loop().create_future())
+
+    def end(self) -> None:
+        """Ends the wait."""
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def after(self, seconds: float, action: object, *args: object) -> None:
+        """Runs an action later, unless the wait is over by then."""
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(max(0.0, seconds), action, *args)  # type: ignore[arg-type]
+        self._timers.append(timer)
+
+    def close(self) -> None:
+        """Cancels all timers."""
+        for timer in self._timers:
+            timer.cancel()
+
+
+@attrs.define(eq=False)
+class Search:
+    """A request to one target of each shard, merged into one answer."""
+
+    _context: context_lib.Context
+    _route: api.Route
+    _scatter: api.Scatter
+    _homes: tuple[str, ...]
+    _request: attempts.Outgoing
+    _received_at: float
+    trace: Trace = attrs.field(factory=Trace)
+    _calls: list[service_call.ServiceCall] = attrs.field(factory=list)
+    _wait: _Wait = attrs.field(factory=_Wait.begin)
+    _late: bool = False
+
+    async def run(self) -> http_server.Reply:
+        """Returns the merged answer.
+
+        Raises:
+            errors.RequestError: If too few shards answered in time.
+        """
+        self._refuse_if_hopeless()
+        self._calls = [
+            service_call.ServiceCall(
+                shard,
+                self._context,
+                self._route,
+                self._homes,
+                self._request,
+                self._judge,
+            )
+            for shard in self._scatter.shards
+        ]
+        for call in self._calls:
+            call.begin()
+        self._set_timers()
+        try:
+            await self._wait.ended
+        finally:
+            self._wait.close()
+            for call in self._calls:
+                call.cancel()
+            self._fill_trace()
+        return self._answer()
+
+    @property
+    def _least(self) -> int:
+        return gathering.least_parts(
+            len(self._scatter.shards), self._scatter.least_share
+        )
+
+    def _refuse_if_hopeless(self) -> None:
+        """Refuses a search whose shards can't reach the least share."""
+        dark = [
+            s
+            for s in self._scatter.shards
+            if not self._context.has_targets(s, self._homes)
+        ]
+        if len(self._scatter.shards) - len(dark) >= self._least:
+            return
+        self.trace.parts = len(self._scatter.shards)
+        self.trace.missing = dark
+        raise errors.RequestError(
+            errors.Code.NO_TARGET,
+            f"{len(dark)} shards have no target that answers",
+            _NO_TARGET_RETRY_AFTER_S,
+        )
+
+    def _set_timers(self) -> None:
+        now = clock.now()
+        route = self._route
+        late_at = self._received_at + route.target_latency_s - _LATE_MARGIN_S
+        self._wait.after(self._context.hedge_delay(route), self._hedge, 1)
+        self._wait.after(late_at - now, self._become_late)
+        self._wait.after(self._request.deadline - now, self._wait.end)
+        if any(c.waits_for_room for c in self._calls):
+            self._wait.after(_LOOK_AGAIN_S, self._look_again)
+
+    def _hedge(self, round_number: int) -> None:
+        for call in self._calls:
+            call.hedge()
+        if round_number < _HEDGE_ROUNDS:
+            delay = self._context.hedge_delay(self._route)
+            self._wait.after(delay, self._hedge, round_number + 1)
+
+    def _look_again(self) -> None:
+        for call in self._calls:
+            call.try_again()
+        if any(c.waits_for_room for c in self._calls):
+            self._wait.after(_LOOK_AGAIN_S, self._look_again)
+
+    def _become_late(self) -> None:
+        self._late = True
+        self._judge()
+
+    def _judge(self) -> None:
+        verdict = gathering.judge(
+            total=len(self._calls),
+            present=sum(1 for c in self._calls if c.answer),
+            lost=sum(1 for c in self._calls if c.lost),
+            least=self._least,
+            late=self._late,
+        )
+        if verdict is not gathering.Verdict.WAIT:
+            self._wait.end()
+
+    def _fill_trace(self) -> None:
+        self.trace.parts = len(self._calls)
+        self.trace.present = sum(1 for c in self._calls if c.answer)
+        self.trace.sends = sum(c.sends for c in self._calls)
+        self.trace.missing = [c.service for c in self._calls if not c.answer]
+        self.trace.targets = [t for c in self._calls for t in c.tried]
+
+    def _answer(self) -> http_server.Reply:
+        answers = [c.answer for c in self._calls if c.answer is not None]
+        if len(answers) < self._least:
+            raise self._failure()
+        body = gathering.merge(
+            (a.response.body for a in answers), self._scatter.top
+        )
+        names = self._context.settings.headers
+        headers = httputil.HTTPHeaders(
+            {
+                "Content-Type": "application/octet-stream",
+                names.request_id: self._request.request_id,
+                names.part_stamps: ", ".join(a.stamp for a in answers),
+                names.missing_parts: str(len(self._calls) - len(answers)),
+            }
+        )
+        return http_server.Reply(200, headers, body)
+
+    def _failure(self) -> errors.RequestError:
+        detail = f"{self.trace.present} of {self.trace.parts} shards answered"
+        if all(not c.may_have_run and c.lost for c in self._calls):
+            return errors.RequestError(
+                errors.Code.SHED, detail, _SHED_RETRY_AFTER_S
+            )
+        if clock.now() >= self._request.deadline:
+            return errors.RequestError(errors.Code.DEADLINE, detail)
+        return errors.RequestError(errors.Code.COVERAGE_TOO_LOW, detail)
+
+
+@attrs.define(eq=False)
+class Forward:
+    """A request to one target, whose answer is passed on unchanged."""
+
+    _context: context_lib.Context
+    _route: api.Route
+    _service: str
+    _homes: tuple[str, ...]
+    _request: attempts.Outgoing
+    _received_at: float
+    trace: Trace = attrs.field(factory=Trace)
+    _wait: _Wait = attrs.field(factory=_Wait.begin)
+
+    async def run(self) -> http_server.Reply:
+        """Returns the target's answer.
+
+        Raises:
+            errors.RequestError: If there is none.
+        """
+        call = service_call.ServiceCall(
+            self._service,
+            self._context,
+            self._route,
+            self._homes,
+            self._request,
+            lambda: self._judge(call),
+        )
+        call.begin()
+        self._set_timers(call)
+        try:
+            await self._wait.ended
+        finally:
+            self._wait.close()
+            under_way = not call.settled and not call.waits_for_room
+            call.cancel()
+            self.trace = Trace(
+                1, int(call.answer is not None), call.sends, [], call.tried
+            )
+        answer = call.answer or call.refusal
+        if answer is None:
+            raise self._failure(call, under_way)
+        return self._reply(answer)
+
+    def _judge(self, call: service_call.ServiceCall) -> None:
+        if call.settled:
+            self._wait.end()
+
+    def _set_timers(self, call: service_call.ServiceCall) -> None:
+        now = clock.now()
+        delay = self._context.hedge_delay(self._route)
+        self._wait.after(delay, call.hedge)
+        self._wait.after(self._request.deadline - now, self._wait.end)
+        if call.waits_for_room:
+            self._wait.after(_LOOK_AGAIN_S, self._look_again, call)
+
+    def _look_again(self, call: service_call.ServiceCall) -> None:
+        call.try_again()
+        if not call.waits_for_room:
+            return
+        waited = clock.now() - self._received_at
+        if waited >= _ROOM_PATIENCE * self._route.target_latency_s:
+            self._wait.end()
+        else:
+            self._wait.after(_LOOK_AGAIN_S, self._look_again, call)
+
+    def _failure(
+        self, call: service_call.ServiceCall, under_way: bool
+    ) -> errors.RequestError:
+        if under_way:
+            return errors.RequestError(
+                errors.Code.DEADLINE, "the target did not answer in time"
+            )
+        if call.may_have_run:
+            return errors.RequestError(
+                errors.Code.TARGET_LOST, "the target's answer was lost"
+            )
+        if not call.sends:
+            return errors.RequestError(
+                errors.Code.NO_TARGET,
+                "no target has room",
+                _NO_TARGET_RETRY_AFTER_S,
+            )
+        return errors.RequestError(
+            errors.Code.SHED,
+            "all targets asked turned the request away",
+            _SHED_RETRY_AFTER_S,
+        )
+
+    def _reply(self, answer: attempts.Answered) -> http_server.Reply:
+        response = answer.response
+        names = self._context.settings.headers
+        headers = headers_lib.forwarded(
+            response.headers, frozenset({names.request_id.lower(), "date"})
+        )
+        headers[names.request_id] = self._request.request_id
+        return http_server.Reply(response.status, headers, response.body)
--- /dev/null
+++ b/packages/telemetry/src/cassiahead_telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events and the stream that carries them."""
--- a/packages/daemon/src/cassiahead_daemon/events.py
+++ b/packages/telemetry/src/cassiahead_telemetry/events.py
@@ -5,9 +5,18 @@
 import enum
 import json
 import logging
+import sys
 from typing import Any
 
-__all__ = ["Event", "JsonFormatter", "configure_logging", "log"]
+from cassiahead_telemetry import stream
+
+__all__ = [
+    "Event",
+    "JsonFormatter",
+    "configure_bounded_logging",
+    "configure_logging",
+    "log",
+]
 
 _LOGGER = logging.getLogger("cassiahead")
 
@@ -23,6 +32,9 @@
     PAUSED = (105, logging.WARNING)
     SUPERSEDED = (106, logging.ERROR)
     CEILING_EXCEEDED = (107, logging.ERROR)
+    LOG_LINES_LEFT_OUT = (108, logging.WARNING)
+    RELOADED = (109, logging.INFO)
+    SETTINGS_UNUSABLE = (110, logging.ERROR)
     NOTE_ACCEPTED = (200, logging.INFO)
     NOTE_REFUSED = (201, logging.WARNING)
     CONFIGURATION_IN_FORCE = (202, logging.INFO)
@@ -30,11 +42,26 @@
     SERVICE_UNREADABLE = (204, logging.WARNING)
     SERVICE_STALE = (205, logging.WARNING)
     LEDGER_CONFLICT = (206, logging.ERROR)
+    CONFIGURATION_APPLIED = (210, logging.INFO)
+    RECORD_UNUSABLE = (211, logging.WARNING)
+    TARGET_APPEARED = (212, logging.INFO)
+    TARGET_LEAVING = (213, logging.INFO)
+    TARGET_GONE = (214, logging.INFO)
+    TARGET_LINGERS = (215, logging.INFO)
+    DOMAIN_TAKEN_OUT = (216, logging.WARNING)
+    DOMAIN_RETURNED = (217, logging.INFO)
+    READING_BEGUN = (220, logging.INFO)
+    READING_ENDED = (221, logging.INFO)
+    READ_FAILED = (222, logging.WARNING)
+    SERVICE_RETURNED = (223, logging.INFO)
     HOME_TAKEN = (300, logging.INFO)
     HOME_LEFT = (301, logging.INFO)
     PEER_SUSPECTED = (302, logging.WARNING)
     RELAY_QUIET = (303, logging.WARNING)
     RELAY_HEARD = (304, logging.INFO)
+    PEER_HEARD = (310, logging.INFO)
+    PEER_REPLACED = (311, logging.INFO)
+    PEER_LOST = (312, logging.WARNING)
     ROUTED = (400, logging.INFO)
     HEDGED = (401, logging.INFO)
     RETRIED = (402, logging.INFO)
@@ -44,6 +71,12 @@
     KEY_DECIDED = (406, logging.INFO)
     KEY_WITHDRAWN = (407, logging.INFO)
     OVERLOADED = (408, logging.INFO)
+    REQUEST_ANSWERED = (420, logging.INFO)
+    REQUEST_REFUSED = (421, logging.INFO)
+    REQUEST_FAILED = (422, logging.WARNING)
+    REQUEST_CANCELLED = (423, logging.INFO)
+    ATTEMPT_FAILED = (424, logging.INFO)
+    ATTEMPT_ADDED = (425, logging.INFO)
     TARGET_COLD = (500, logging.WARNING)
     TARGET_FAILED = (501, logging.WARNING)
     CONNECTION_SILENT = (502, logging.WARNING)
@@ -87,17 +120,43 @@
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
 
 
+def configure_bounded_logging(level: str) -> stream.BoundedStreamHandler:
+    """Sends all log records to standard output, without ever blocking.
+
+    Returns:
+        The handler, which the caller flushes.
+    """
+    handler = stream.BoundedStreamHandler(sys.stdout.fileno())
+    handler.setFormatter(JsonFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    return handler
+
+
 def log(
     event: Event,
     exc_info: BaseException | None = None,
+    ordinary: bool = False,
     **fields: Any,  # noqa: ANN401
 ) -> None:
-    """Logs an event with its fields."""
+    """Logs an event with its fields.
+
+    Args:
+        event: The event.
+        exc_info: Error whose traceback is added.
+        ordinary: Whether a bounded stream may sample such lines.
+        **fields: What the event's row in docs/EVENTS.md names.
+    """
     number, level = event.value
     if _LOGGER.isEnabledFor(level):
         _LOGGER.log(
             level,
             event.name,
             exc_info=exc_info,
-            extra={"event": number, "fields": fields},
+            extra={
+                "event": number,
+                "fields": fields,
+                "ordinary": ordinary,
+            },
         )
--- /dev/null
+++ b/packages/wire/src/cassiahead_wire/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections, addresses and clocks that all programs share."""
--- a/packages/daemon/src/cassiahead_daemon/wire.py
+++ b/packages/wire/src/cassiahead_wire/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import enum
+import math
 import socket
 from typing import TYPE_CHECKING
 
@@ -16,8 +17,8 @@
 from tornado import httputil
 from tornado import iostream
 
-from cassiahead_daemon import clock
-from cassiahead_daemon import settings as settings_lib
+from cassiahead_wire import addresses
+from cassiahead_wire import clock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +29,15 @@
 _MAX_HEADER_BYTES = 16 * 1024
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _IDLE_LIMIT_S = 5.0
+# A connection is given up this long before its peer may close it.
+_IDLE_MARGIN_S = 0.5
+# A peer that is silent is noticed after about 3 s, within the 4 s after which
+# the platform counts a host as connected again.
+_KEEP_ALIVE_OPTIONS = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+)
 
 
 class Fault(enum.StrEnum):
@@ -93,16 +103,29 @@
         return Response(self.status, self.headers, b"".join(self._chunks))
 
 
+class _Stream(iostream.IOStream):
+    """A stream that tells whether it holds bytes nobody has asked for."""
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes came that were not read."""
+        return self._read_buffer_size > 0
+
+
 class Connection:
     """One connection to one address, for one exchange at a time."""
 
-    def __init__(self, address: str, stream: iostream.IOStream) -> None:
+    def __init__(self, address: str, stream: _Stream) -> None:
         """Wraps a connected stream; use ``open`` instead."""
         self._address = address
         self._stream = stream
         self._reading: asyncio.Task[bool] | None = None
+        self._collector = _Collector(None)
+        self._idle_limit_s = math.inf
         self.used_at = clock.now()
         self.exchanges = 0
+        # With a callback the stream notices while idle that the peer closes.
+        stream.set_close_callback(_ignore_close)
 
     @classmethod
     async def open(cls, address: str, timeout: float) -> Connection:
@@ -115,11 +138,11 @@
         Raises:
             WireError: With fault ``CONNECT``.
         """
-        host, port = settings_lib.split_address(address)
+        host, port = addresses.split_address(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = iostream.IOStream(sock)
+        _set_options(sock)
+        stream = _Stream(sock)
         try:
             await asyncio.wait_for(stream.connect((host, port)), timeout)
         except (OSError, TimeoutError, iostream.StreamClosedError) as error:
@@ -133,7 +156,22 @@
     @property
     def usable(self) -> bool:
         """Whether another exchange can begin."""
-        return not self._stream.closed() and self._reading is None
+        if self._stream.closed() or self._reading is not None:
+            return False
+        return clock.now() - self.used_at < self._idle_limit_s
+
+    @property
+    def quiet(self) -> bool:
+        """Whether the peer has neither closed nor sent anything unasked."""
+        if self._stream.closed() or self._stream.has_unread:
+            return False
+        try:
+            self._stream.socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
 
     async def exchange(
         self,
@@ -146,14 +184,15 @@
     ) -> Response:
         """Sends a request and reads the response.
 
-        If this raises or is cancelled, ``cancel`` or ``close`` must follow.
+        If this raises or is cancelled, ``cancel`` or ``close`` must follow;
+        after a timeout ``result`` may be asked again.
 
         Args:
             method: HTTP method.
             path: Path with query.
             body: Request body.
             timeout: Seconds until the response must be complete.
-            headers: Further headers.
+            headers: Further headers; ``Host`` is the address by default.
             on_data: Called with each piece of the body as it arrives.
 
         Raises:
@@ -161,7 +200,7 @@
         """
         if not self.usable:
             raise WireError(Fault.CLOSED, sent=False)
-        collector = _Collector(on_data)
+        self._collector = _Collector(on_data)
         http = http1connection.HTTP1Connection(
             self._stream,
             True,
@@ -171,28 +210,47 @@
             ),
         )
         all_headers = httputil.HTTPHeaders(headers or {})
-        all_headers["Host"] = self._address
+        if "Host" not in all_headers:
+            all_headers["Host"] = self._address
         all_headers["Content-Length"] = str(len(body))
         start = httputil.RequestStartLine(method, path, "")
         http.write_headers(start, all_headers, body)
         http.finish()
-        self._reading = asyncio.ensure_future(_read(http, collector))
+        self._reading = asyncio.ensure_future(_read(http, self._collector))
+        return await self.result(timeout)
+
+    async def result(self, timeout: float) -> Response:
+        """Waits for the response of the exchange that has begun.
+
+        Raises:
+            WireError: If no whole response came in time.
+        """
+        if self._reading is None:
+            raise WireError(Fault.CLOSED, sent=True)
         await asyncio.wait({self._reading}, timeout=max(0.0, timeout))
+        collector = self._collector
         answered = collector.status != 0
         if not self._reading.done():
             raise WireError(Fault.TIMEOUT, sent=True, answered=answered)
         kept_open = self._reading.result()
         self._reading = None
-        if not collector.finished:
+        if not collector.finished or self._was_reset():
             fault = Fault.MALFORMED if answered else Fault.CLOSED
             raise WireError(fault, sent=True, answered=answered)
         self.used_at = clock.now()
         self.exchanges += 1
         closing = collector.headers.get("Connection", "").lower() == "close"
-        if closing or not kept_open:
+        if closing or not kept_open or self._stream.has_unread:
             self.close()
+        else:
+            self._idle_limit_s = _idle_limit(collector.headers)
         return collector.response()
 
+    def _was_reset(self) -> bool:
+        # A body without a length ends with its connection, and a reset must
+        # not pass for that end.
+        return self._stream.closed() and isinstance(self._stream.error, OSError)
+
     async def cancel(self, timeout: float) -> bool:
         """Abandons an exchange and waits for the peer to notice.
 
@@ -277,6 +335,26 @@
         return None
 
 
+def _ignore_close() -> None:
+    pass
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, seconds in _KEEP_ALIVE_OPTIONS:
+        sock.setsockopt(socket.IPPROTO_TCP, name, seconds)
+
+
+def _idle_limit(headers: httputil.HTTPHeaders) -> float:
+    """Returns the seconds for which the peer keeps an idle connection."""
+    for part in headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return max(0.0, int(value) - _IDLE_MARGIN_S)
+    return math.inf
+
+
 async def _read(
     http: http1connection.HTTP1Connection, collector: _Collector
 ) -> bool:
