Close idle caller connections before the end; notice callers that leave

Idle connections are closed first now, and the end comes when none is left. tornado tells of a caller's leaving only by the connection's own callback while a request is served; the delegate's method is not called, so attempts of callers that had left went on. Also: the field 'at' of events hid the time of the line.

--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -165,8 +165,10 @@
         serve_until = min(began + _SERVE_ON_S, last)
         await asyncio.sleep(serve_until - clock.now())
         self._callers.stop_listening()
-        while self._gateway.in_flight and clock.now() < last:
+        self._callers.close_idle()
+        while self._callers.in_flight and clock.now() < last:
             await asyncio.sleep(_DRAIN_POLL_S)
+            self._callers.close_idle()
 
     async def stop(self) -> None:
         """Closes everything."""
@@ -226,7 +228,7 @@
             events.log(
                 events.Event.READY,
                 version=catalogue.version,
-                at=catalogue.at,
+                revision=catalogue.at,
                 targets=catalogue.target_count,
             )
         else:
--- a/packages/gateway/src/cassiahead_gateway/catalogue.py
+++ b/packages/gateway/src/cassiahead_gateway/catalogue.py
@@ -106,7 +106,7 @@
             events.log(
                 events.Event.SERVICE_RETURNED,
                 away_s=round(confirmed_at - self._confirmed_at, 2),
-                at=at,
+                revision=at,
             )
         self._confirmed_at = confirmed_at
 
--- a/packages/gateway/src/cassiahead_gateway/exchange.py
+++ b/packages/gateway/src/cassiahead_gateway/exchange.py
@@ -243,7 +243,7 @@
                 events.Event.PEER_HEARD,
                 peer=heartbeat.process,
                 address=heartbeat.address,
-                at=heartbeat.at,
+                revision=heartbeat.at,
                 fleet=peers.size(),
             )
 
--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -83,6 +83,12 @@
             idle_connection_timeout=_IDLE_TIMEOUT_S,
         )
         self.closing = False
+        self._exchanges: dict[object, _Exchange] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of which something was read and that are not answered."""
+        return sum(1 for e in self._exchanges.values() if not e.idle)
 
     def listen(self) -> None:
         """Begins to listen."""
@@ -93,6 +99,15 @@
         """Takes no more connections; open ones go on."""
         self._server.stop()
 
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is being served.
+
+        Of a request that crosses the close nothing has been read, so its
+        sender may repeat it elsewhere.
+        """
+        for exchange in [e for e in self._exchanges.values() if e.idle]:
+            exchange.close()
+
     async def close(self) -> None:
         """Closes all connections."""
         self._server.stop()
@@ -102,11 +117,13 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Begins to read a request."""
-        del server_conn
-        return _Exchange(self, self._handler, request_conn)
+        exchange = _Exchange(self, self._handler, request_conn)
+        self._exchanges[server_conn] = exchange
+        return exchange
 
     def on_close(self, server_conn: object) -> None:
-        """Does nothing: each exchange notices by itself."""
+        """Drops what is kept of a connection that has ended."""
+        self._exchanges.pop(server_conn, None)
 
 
 class _Exchange(httputil.HTTPMessageDelegate):
@@ -125,6 +142,16 @@
         self._received_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of a request was read so far."""
+        return self._start is None
+
+    def close(self) -> None:
+        """Closes the connection."""
+        connection: http1connection.HTTP1Connection = self._connection  # type: ignore[assignment]
+        connection.close()
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
@@ -147,6 +174,9 @@
             b"".join(self._chunks),
             self._received_at,
         )
+        connection: http1connection.HTTP1Connection = self._connection  # type: ignore[assignment]
+        # While a request is served, tornado tells of its end here only.
+        connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.ensure_future(self._serve(request))
 
     def on_connection_close(self) -> None:
--- a/packages/gateway/src/cassiahead_gateway/reader.py
+++ b/packages/gateway/src/cassiahead_gateway/reader.py
@@ -111,7 +111,7 @@
             events.Event.READ_FAILED,
             fault=error.fault.value,
             detail=error.detail,
-            at=self._context.catalogue.at,
+            revision=self._context.catalogue.at,
             pause_s=round(pause, 2),
         )
 
@@ -120,7 +120,7 @@
         age = self._context.catalogue.age(now)
         events.log(
             events.Event.READING_BEGUN if reads else events.Event.READING_ENDED,
-            at=self._context.catalogue.at,
+            revision=self._context.catalogue.at,
             age_s=round(age, 2) if age < 1e6 else None,
             peers_heard=len(self._context.peers.heard(now)),
         )
