--- a/packages/decisions/src/cassiahead_decisions/fleet_quota.py
+++ b/packages/decisions/src/cassiahead_decisions/fleet_quota.py
@@ -29,9 +29,12 @@
 # that is lost is made good by the next.
 _REPORT_S = 5.0
 # Seconds of an account's rate that a process which knows nothing may admit.
-_START_S = 1.0
+_START_S = 0.5
 # Share of the fleet's limit of a process that has never heard of a peer.
 _LEAST_SHARE = 0.125
+# Part of its share that an isolated process uses: the others go by what it
+# admitted before the cut, and may use more than that leaves.
+_ISOLATED_USE = 0.7
 
 
 @attrs.frozen
@@ -93,7 +96,7 @@
             peer.expected += used
             gained -= used
         self.tokens = min(self.limit.burst, self.tokens + gained)
-        share = self.share()
+        share = _ISOLATED_USE * self.share()
         self.own_tokens = min(
             max(1.0, share * self.limit.burst),
             self.own_tokens + share * self.limit.rate_per_s * elapsed,
@@ -203,15 +206,23 @@
             if bucket is not None:
                 bucket.tokens = min(bucket.limit.burst, value)
 
-    def hear(self, peer: str, counts: Mapping[str, int], now: float) -> None:
+    def hear(
+        self,
+        peer: str,
+        counts: Mapping[str, int],
+        now: float,
+        began_later: bool = False,
+    ) -> None:
         """Takes a peer's admissions since its start.
 
         Args:
             peer: The peer's process, a new name at each of its starts.
             counts: Admissions by account.
             now: Time on this process's clock.
+            began_later: Whether the peer began about when this process did,
+                or after it, so that all it admitted is news here.
         """
-        is_new = peer not in self._heard
+        is_new = peer not in self._heard and not began_later
         self._heard[peer] = now
         for name, count in counts.items():
             bucket = self._buckets.get(name)
--- a/packages/decisions/src/cassiahead_decisions/hedging.py
+++ b/packages/decisions/src/cassiahead_decisions/hedging.py
@@ -72,12 +72,13 @@
     _credit: float = 20.0
 
     @classmethod
-    def empty(cls, fraction: float, reserve: float) -> ExtraLoadBudget:
-        """Creates a budget that has to be earned first.
+    def at_start(cls, fraction: float, reserve: float) -> ExtraLoadBudget:
+        """Creates the budget of a process that has just started.
 
-        A process that restarts must not bring a second reserve.
+        It has what retries may use, and not what hedges would: processes that
+        restart one after the other must not bring a whole reserve each.
         """
-        return cls(fraction, reserve, 0.0)
+        return cls(fraction, reserve, reserve / 2)
 
     @property
     def credit(self) -> float:
--- a/packages/decisions/tests/test_hedging.py
+++ b/packages/decisions/tests/test_hedging.py
@@ -28,3 +28,9 @@
         window.record(0.1 if number % 10 == 0 else 0.01)
     assert window.hedge_delay == 0.1
     assert window.overdue_delay > window.hedge_delay
+
+
+def test_a_process_that_starts_has_credit_for_retries_only() -> None:
+    budget = hedging.ExtraLoadBudget.at_start(0.2, 8.0)
+    assert not budget.spend(needed=False)
+    assert sum(budget.spend() for _ in range(100)) == 4
--- /dev/null
+++ b/packages/decisions/tests/test_traffic_split.py
@@ -0,0 +1,29 @@
+"""The parts of a route get their weights' shares."""
+
+from __future__ import annotations
+
+import collections
+
+from cassiahead_decisions import traffic_split
+
+
+def test_shares_are_exact_over_short_runs() -> None:
+    split = traffic_split.TrafficSplit()
+    weights = {"a": 70.0, "b": 25.0, "c": 5.0}
+    drawn = [split.next(weights) for _ in range(200)]
+    for start in range(0, 100, 20):
+        counts = collections.Counter(drawn[start : start + 100])
+        assert abs(counts["a"] - 70) <= 1
+        assert abs(counts["b"] - 25) <= 1
+        assert abs(counts["c"] - 5) <= 1
+
+
+def test_weights_and_parts_may_change() -> None:
+    split = traffic_split.TrafficSplit()
+    for _ in range(7):
+        split.next({"a": 1.0, "b": 1.0})
+    drawn = collections.Counter(
+        split.next({"b": 9.0, "c": 1.0}) for _ in range(100)
+    )
+    assert abs(drawn["b"] - 90) <= 1
+    assert drawn["a"] == 0
--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -100,6 +100,16 @@
         ]
         return application
 
+    @property
+    def context(self) -> context_lib.Context:
+        """What the parts share."""
+        return self._context
+
+    @property
+    def reads(self) -> bool:
+        """Whether this process reads the platform's service."""
+        return self._reader.reading
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
--- a/packages/gateway/src/cassiahead_gateway/context.py
+++ b/packages/gateway/src/cassiahead_gateway/context.py
@@ -51,6 +51,7 @@
     Attributes:
         settings: The settings.
         process: Name of this process, new at each start.
+        started_at: When it began, on its clock.
         rng: Random numbers for all decisions.
         catalogue: What is believed of configuration and targets.
         peers: The fleet's other processes.
@@ -64,6 +65,7 @@
 
     settings: settings_lib.Settings
     process: str
+    started_at: float
     rng: random.Random
     catalogue: catalogue_lib.Catalogue
     peers: peer_table.PeerTable
@@ -110,6 +112,7 @@
         return cls(
             settings=settings,
             process=process,
+            started_at=clock.now(),
             rng=rng,
             catalogue=catalogue_lib.Catalogue(
                 decode, on_configuration, on_target_gone
@@ -130,13 +133,14 @@
     def budget(self, service: str) -> hedging.ExtraLoadBudget:
         """Returns the budget for extra requests to a service."""
         bound = self.settings.retries
+        reserve = _BUDGET_USED * bound.slack / self.fleet_size()
         budget = self._budgets.get(service)
         if budget is None:
-            budget = hedging.ExtraLoadBudget.empty(
-                _BUDGET_USED * bound.ratio, 0.0
+            budget = hedging.ExtraLoadBudget.at_start(
+                _BUDGET_USED * bound.ratio, reserve
             )
             self._budgets[service] = budget
-        budget.reserve = _BUDGET_USED * bound.slack / self.fleet_size()
+        budget.reserve = reserve
         return budget
 
     def window(self, route: str) -> hedging.LatencyWindow:
--- a/packages/gateway/src/cassiahead_gateway/exchange.py
+++ b/packages/gateway/src/cassiahead_gateway/exchange.py
@@ -25,6 +25,8 @@
 # The process with the lower address begins the exchanges of a pair; the other
 # one does so if it heard nothing for this long.
 _QUIET_S = 0.6
+# Processes that began within this time of each other began together.
+_SAME_START_S = 1.0
 # Addresses where nobody answers are tried this often.
 _ABSENT_INTERVAL_S = 1.0
 
@@ -181,6 +183,7 @@
         return messages.Heartbeat(
             process=context.process,
             address=context.settings.peers,
+            uptime_s=round(now - context.started_at, 2),
             at=catalogue.at,
             age=None if math.isinf(age) else round(age, 3),
             reading=self.reading(),
@@ -213,7 +216,13 @@
         if heartbeat.tokens is not None and not self._adopted:
             self._adopted = True
             context.quota.adopt(heartbeat.tokens)
-        context.quota.hear(heartbeat.process, heartbeat.admitted, now)
+        uptime_s = now - context.started_at
+        context.quota.hear(
+            heartbeat.process,
+            heartbeat.admitted,
+            now,
+            heartbeat.uptime_s <= uptime_s + _SAME_START_S,
+        )
 
     def _hear(self, heartbeat: messages.Heartbeat, now: float) -> None:
         peers = self._context.peers
--- a/packages/gateway/src/cassiahead_gateway/messages.py
+++ b/packages/gateway/src/cassiahead_gateway/messages.py
@@ -32,6 +32,7 @@
     Attributes:
         process: Its name, new at each start.
         address: Where it takes exchanges.
+        uptime_s: Seconds since its start.
         at: Revision up to which it knows the records.
         age: Seconds since they were current; None if never.
         reading: Whether it reads the configuration service itself.
@@ -45,6 +46,7 @@
 
     process: str
     address: str
+    uptime_s: float
     at: int
     age: float | None
     reading: bool
--- /dev/null
+++ b/packages/gateway/tests/test_messages.py
@@ -0,0 +1,32 @@
+"""Messages between gateways."""
+
+from __future__ import annotations
+
+import pytest
+
+from cassiahead_gateway import messages
+
+_HEARTBEAT = messages.Heartbeat(
+    process="h-1",
+    address="127.0.0.1:1",
+    uptime_s=1.5,
+    at=7,
+    age=None,
+    reading=True,
+    leaving=False,
+    addresses=["127.0.0.1:2"],
+    admitted={"acme": 3},
+    tokens={"acme": -1.5},
+    changes=[messages.RecordChange("k", 7, None)],
+    complete=True,
+)
+
+
+def test_a_message_survives_its_way() -> None:
+    assert messages.decode(messages.encode(_HEARTBEAT)) == _HEARTBEAT
+
+
+@pytest.mark.parametrize("text", [b"", b"[]", b'{"process": "x"}', b"\xff"])
+def test_what_is_no_message_is_an_error(text: bytes) -> None:
+    with pytest.raises(messages.MessageError):
+        messages.decode(text)
--- /dev/null
+++ b/packages/gateway/tests/test_routing.py
@@ -0,0 +1,71 @@
+"""Routes and keys."""
+
+from __future__ import annotations
+
+import pytest
+
+from cassiahead_gateway import api
+from cassiahead_gateway import errors
+from cassiahead_gateway import routing
+
+
+def _route(name: str, prefix: str, *, open_: bool = False) -> api.Route:
+    return api.Route(
+        name, "h.example", prefix, api.Single("s"), True, 1, 1, 2, open=open_
+    )
+
+
+def _router() -> routing.Router:
+    account = api.Account("acme")
+    return routing.Router.from_configuration(
+        api.Configuration(
+            4,
+            routes=(
+                _route("short", "/a/"),
+                _route("long", "/a/b/"),
+                _route("free", "/free/", open_=True),
+            ),
+            accounts={"acme": account},
+            keys={"k1": "acme"},
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/a/x", "short"),
+        ("/a/b/x?q=/c/", "long"),
+        ("/a/b", "short"),
+        ("/free/?a", "free"),
+    ],
+)
+def test_the_longest_prefix_wins(path: str, name: str) -> None:
+    router = _router()
+    assert router.route("h.example", path).name == name
+    assert router.route("H.EXAMPLE:8080", path).name == name
+
+
+@pytest.mark.parametrize(
+    ("host", "path"), [("h.example", "/b/"), ("x.example", "/a/")]
+)
+def test_what_no_route_fits_is_not_found(host: str, path: str) -> None:
+    with pytest.raises(errors.RequestError) as caught:
+        _router().route(host, path)
+    assert caught.value.code is errors.Code.NO_ROUTE
+
+
+def test_keys() -> None:
+    router = _router()
+    route = router.route("h.example", "/a/")
+    found = router.account(route, "Bearer k1")
+    assert found is not None
+    assert found.name == "acme"
+    with pytest.raises(errors.RequestError) as caught:
+        router.account(route, "Bearer k2")
+    assert caught.value.code is errors.Code.KEY_INVALID
+    with pytest.raises(errors.RequestError) as caught:
+        router.account(route, None)
+    assert caught.value.code is errors.Code.KEY_MISSING
+    free = router.route("h.example", "/free/")
+    assert router.account(free, "Bearer k2") is None
--- /dev/null
+++ b/packages/gateway/tests/test_settings.py
@@ -0,0 +1,57 @@
+"""Settings are checked before anything starts."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from cassiahead_gateway import settings
+
+if TYPE_CHECKING:
+    import pathlib
+
+_GOOD = {
+    "name": "h1",
+    "failure_domain": "d1",
+    "callers": "127.0.0.1:8001",
+    "readiness": "127.0.0.1:8002",
+    "peers": "127.0.0.1:8003",
+    "metrics": "127.0.0.1:8004",
+    "configuration_service": "127.0.0.1:8005",
+}
+
+
+def _write(path: pathlib.Path, **changes: object) -> pathlib.Path:
+    file = path / "settings.json"
+    file.write_text(json.dumps(_GOOD | changes))
+    return file
+
+
+def test_good_settings(tmp_path: pathlib.Path) -> None:
+    loaded = settings.load(_write(tmp_path, retries={"ratio": 0.1}))
+    assert loaded.retries == settings.RetryBound(0.1)
+    assert loaded.headers.request_id == "X-Request-Id"
+
+
+@pytest.mark.parametrize(
+    ("changes", "hint"),
+    [
+        ({"callers": "somewhere"}, "$.callers"),
+        ({"grace_s": 0}, "$.grace_s"),
+        ({"log_level": "LOUD"}, "$.log_level"),
+        ({"nonsense": 1}, "nonsense"),
+        ({"retries": {"ratio": "much"}}, "ratio"),
+    ],
+)
+def test_faults_are_named(
+    tmp_path: pathlib.Path, changes: dict[str, object], hint: str
+) -> None:
+    with pytest.raises(settings.SettingsError, match=hint.replace("$", r"\$")):
+        settings.load(_write(tmp_path, **changes))
+
+
+def test_a_file_that_is_not_there(tmp_path: pathlib.Path) -> None:
+    with pytest.raises(settings.SettingsError, match="No such file"):
+        settings.load(tmp_path / "none.json")
--- a/packages/telemetry/src/cassiahead_telemetry/stream.py
+++ b/packages/telemetry/src/cassiahead_telemetry/stream.py
@@ -49,8 +49,7 @@
 
     def flush(self) -> None:
         """Writes as much as the descriptor takes at once."""
-        if self._dropped or self._sampled_out:
-            self._keep(self._loss_line())
+        self._tell_losses()
         if not self._lines:
             return
         pending = b"".join(self._lines)
@@ -82,8 +81,10 @@
         self._tokens -= 1
         return True
 
-    def _loss_line(self) -> bytes:
-        line = {
+    def _tell_losses(self) -> None:
+        if not self._dropped and not self._sampled_out:
+            return
+        fields = {
             "at": round(time.time(), 4),
             "level": "WARNING",
             "event": 108,
@@ -91,6 +92,9 @@
             "dropped": self._dropped,
             "sampled_out": self._sampled_out,
         }
+        line = json.dumps(fields).encode() + b"\n"
+        if self._size + len(line) > _MAX_BUFFER_BYTES:
+            return
         self._dropped = 0
         self._sampled_out = 0
-        return json.dumps(line).encode() + b"\n"
+        self._keep(line)
