Contain requests that crash the targets that run them

A target whose connection ends before its answer has crashed if it takes no new connection right afterwards; a lost answer is no crash. Counts go with the heartbeats, and a request with three crashes is refused by all gateways.

--- a/packages/decisions/src/cassiahead_decisions/poison.py
+++ b/packages/decisions/src/cassiahead_decisions/poison.py
@@ -8,10 +8,11 @@
 
 from cassiahead_protocol import api
 
-__all__ = ["MAX_CRASHES", "PoisonTable", "fingerprint"]
+__all__ = ["HOLD_S", "MAX_CRASHES", "PoisonTable", "fingerprint"]
 
 MAX_CRASHES = 2
-_HOLD_S = 120.0
+# Seconds for which crashes are remembered.
+HOLD_S = 120.0
 _MAX_ENTRIES = 1000
 
 
@@ -30,15 +31,20 @@
 
 @attrs.define
 class PoisonTable:
-    """Suspected crashes by fingerprint: own ones and those heard of."""
+    """Suspected crashes by fingerprint: own ones and those heard of.
 
+    Attributes:
+        max_crashes: Crashes after which a request is refused.
+    """
+
+    max_crashes: int = MAX_CRASHES
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
 
     def crashed(self, digest: str, now: float) -> int:
         """Counts one crash seen here; returns the count over the fleet."""
         entry = self._entry(digest)
         entry.own += 1
-        entry.until = now + _HOLD_S
+        entry.until = now + HOLD_S
         return self.crashes(digest, now)
 
     def cleared(self, digest: str) -> None:
@@ -55,7 +61,7 @@
         for report in reports:
             entry = self._entry(report.fingerprint)
             entry.others[sender] = report.crashes
-            entry.until = max(entry.until, now + min(report.ttl, _HOLD_S))
+            entry.until = max(entry.until, now + min(report.ttl, HOLD_S))
 
     def crashes(self, digest: str, now: float) -> int:
         """Returns the crashes known of a fingerprint."""
@@ -66,7 +72,7 @@
 
     def refused(self, digest: str, now: float) -> bool:
         """Returns whether a request must not be sent to targets again."""
-        return self.crashes(digest, now) >= MAX_CRASHES
+        return self.crashes(digest, now) >= self.max_crashes
 
     def reports(self, now: float) -> tuple[api.PoisonReport, ...]:
         """Returns this process's own counts, for its peers."""
--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 
 from cassiahead_decisions import replicas
+from cassiahead_gateway import crashes as crashes_lib
 from cassiahead_gateway import headers as headers_lib
 from cassiahead_gateway import links as links_lib
 from cassiahead_wire import clock
@@ -34,6 +35,7 @@
         headers: Headers for any target.
         body: The body.
         deadline: When the caller's time has run, on this process's clock.
+        fingerprint: Digest that stands for the request and its repetitions.
     """
 
     request_id: str
@@ -42,6 +44,7 @@
     headers: httputil.HTTPHeaders
     body: bytes
     deadline: float
+    fingerprint: str
 
 
 @attrs.frozen(eq=False)
@@ -92,6 +95,7 @@
     _names: headers_lib.HeaderNames
     _links: links_lib.Links
     _chooser: replicas.ReplicaChooser
+    _crashes: crashes_lib.CrashWatch
 
     async def send(
         self, target: api.Target, request: Outgoing, timeout: float
@@ -118,7 +122,7 @@
                 self._headers(target, request),
             )
         except wire.WireError as error:
-            return self._failed(target, connection, error, started)
+            return self._failed(target, request, connection, error, started)
         except asyncio.CancelledError:
             now = clock.now()
             self._chooser.outlasted(target.id, now - started, now)
@@ -139,6 +143,7 @@
     def _failed(
         self,
         target: api.Target,
+        request: Outgoing,
         connection: wire.Connection | None,
         error: wire.WireError,
         started: float,
@@ -152,6 +157,10 @@
             self._chooser.failed(target.id, now)
         if not error.sent:
             return NotRun(f"no connection: {error.fault}", arrived=False)
+        if error.fault is wire.Fault.CLOSED:
+            self._crashes.suspect(
+                target, request.fingerprint, request.request_id
+            )
         return Lost(error.fault.value)
 
     def _received(
@@ -180,6 +189,7 @@
             self._chooser.failed(target.id, now)
         else:
             self._chooser.answered(target.id, now - started, now)
+            self._crashes.table.cleared(request.fingerprint)
         return Answered(response, response.headers.get(names.stamp, ""))
 
     def _fault(self, request: Outgoing, response: wire.Response) -> str | None:
--- a/packages/gateway/src/cassiahead_gateway/context.py
+++ b/packages/gateway/src/cassiahead_gateway/context.py
@@ -11,10 +11,12 @@
 from cassiahead_decisions import fleet_quota
 from cassiahead_decisions import hedging
 from cassiahead_decisions import peer_table
+from cassiahead_decisions import poison as poison_lib
 from cassiahead_decisions import replicas
 from cassiahead_decisions import traffic_split
 from cassiahead_gateway import attempts
 from cassiahead_gateway import catalogue as catalogue_lib
+from cassiahead_gateway import crashes as crashes_lib
 from cassiahead_gateway import links as links_lib
 from cassiahead_gateway import metrics as metrics_lib
 from cassiahead_gateway import settings as settings_lib
@@ -33,6 +35,8 @@
 _BUDGET_USED = 0.85
 # Hosts assumed before any was heard.
 _LEAST_FLEET = 4
+# Crashes of targets after which a request is refused.
+_MAX_CRASHES = 3
 # A target that failed is asked again at least this often, in seconds: crashed
 # ones are back, or their entries gone, within about that time.
 _LONGEST_EJECTION_S = 4.0
@@ -59,6 +63,7 @@
         links: Connections to targets.
         chooser: Which replica is asked.
         sender: Sends attempts.
+        crashes: Requests that crash targets.
         cold: What targets in cold start are given.
         metrics: Counters and histograms.
     """
@@ -73,6 +78,7 @@
     links: links_lib.Links
     chooser: replicas.ReplicaChooser
     sender: attempts.Sender
+    crashes: crashes_lib.CrashWatch
     cold: cold_guard.ColdGuard
     metrics: metrics_lib.Metrics
     _budgets: dict[str, hedging.ExtraLoadBudget] = attrs.field(factory=dict)
@@ -93,6 +99,9 @@
             settings.failure_domain, rng, _LONGEST_EJECTION_S
         )
         quota = fleet_quota.FleetQuota()
+        crashes = crashes_lib.CrashWatch(
+            links, poison_lib.PoisonTable(_MAX_CRASHES)
+        )
         guard = cold_guard.ColdGuard(settings.cold.slack, process)
 
         def on_configuration(configuration: api.Configuration) -> None:
@@ -121,7 +130,8 @@
             quota=quota,
             links=links,
             chooser=chooser,
-            sender=attempts.Sender(settings.headers, links, chooser),
+            sender=attempts.Sender(settings.headers, links, chooser, crashes),
+            crashes=crashes,
             cold=guard,
             metrics=metrics_lib.Metrics(),
         )
--- a/packages/gateway/src/cassiahead_gateway/errors.py
+++ b/packages/gateway/src/cassiahead_gateway/errors.py
@@ -26,6 +26,7 @@
     TARGET_LOST = ("CG12", 502)
     DEADLINE = ("CG13", 504)
     COVERAGE_TOO_LOW = ("CG14", 502)
+    POISONED = ("CG16", 503)
     INTERNAL = ("CG17", 502)
 
     @property
--- a/packages/gateway/src/cassiahead_gateway/exchange.py
+++ b/packages/gateway/src/cassiahead_gateway/exchange.py
@@ -13,6 +13,7 @@
 from cassiahead_gateway import http_server
 from cassiahead_gateway import messages
 from cassiahead_gateway import records as records_lib
+from cassiahead_protocol import api as protocol
 from cassiahead_telemetry import events
 from cassiahead_wire import clock
 from cassiahead_wire import connection as wire
@@ -190,6 +191,10 @@
             leaving=self.leaving,
             addresses=context.peers.addresses() if is_new else [],
             admitted=context.quota.report(now, is_new),
+            crashes=[
+                messages.CrashCount(r.fingerprint, r.crashes, r.ttl)
+                for r in context.crashes.table.reports(now)
+            ],
             tokens=context.quota.tokens(now) if is_new else None,
             changes=changes,
             complete=complete,
@@ -216,6 +221,14 @@
         if heartbeat.tokens is not None and not self._adopted:
             self._adopted = True
             context.quota.adopt(heartbeat.tokens)
+        context.crashes.table.hear(
+            heartbeat.process,
+            tuple(
+                protocol.PoisonReport(c.fingerprint, c.crashes, c.ttl_s)
+                for c in heartbeat.crashes
+            ),
+            now,
+        )
         uptime_s = now - context.started_at
         context.quota.hear(
             heartbeat.process,
--- a/packages/gateway/src/cassiahead_gateway/gateway.py
+++ b/packages/gateway/src/cassiahead_gateway/gateway.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from cassiahead_decisions import poison as poison_lib
 from cassiahead_gateway import api
 from cassiahead_gateway import attempts
 from cassiahead_gateway import context as context_lib
@@ -139,6 +140,7 @@
     ) -> search.Search | search.Forward:
         route = admitted.route
         outgoing = self._outgoing(request, request_id, admitted)
+        self._refuse_poisoned(outgoing)
         homes = _homes(route, admitted.account)
         arguments = (homes, outgoing, request.received_at)
         match route.destination:
@@ -150,6 +152,17 @@
                 pass
         return search.Forward(self._context, route, service, *arguments)
 
+    def _refuse_poisoned(self, outgoing: attempts.Outgoing) -> None:
+        table = self._context.crashes.table
+        now = clock.now()
+        if not table.refused(outgoing.fingerprint, now):
+            return
+        raise errors.RequestError(
+            errors.Code.POISONED,
+            f"it crashed {table.crashes(outgoing.fingerprint, now)} targets",
+            poison_lib.HOLD_S,
+        )
+
     def _outgoing(
         self,
         request: http_server.Request,
@@ -179,6 +192,11 @@
             headers,
             request.body,
             request.received_at + allowed,
+            poison_lib.fingerprint(
+                admitted.account.name if admitted.account else "",
+                f"{request.headers.get('Host', '')}{request.path}",
+                request.body.decode("latin-1"),
+            ),
         )
 
     def _refusal(
--- a/packages/gateway/src/cassiahead_gateway/messages.py
+++ b/packages/gateway/src/cassiahead_gateway/messages.py
@@ -7,7 +7,14 @@
 import attrs
 import cattrs
 
-__all__ = ["Heartbeat", "MessageError", "RecordChange", "decode", "encode"]
+__all__ = [
+    "CrashCount",
+    "Heartbeat",
+    "MessageError",
+    "RecordChange",
+    "decode",
+    "encode",
+]
 
 
 class MessageError(Exception):
@@ -25,6 +32,21 @@
     value: str | None
 
 
+@attrs.frozen
+class CrashCount:
+    """Crashes of targets that a process lays to one request.
+
+    Attributes:
+        fingerprint: Digest of the request.
+        crashes: Their number.
+        ttl_s: Seconds for which they still count.
+    """
+
+    fingerprint: str
+    crashes: int
+    ttl_s: float
+
+
 @attrs.frozen
 class Heartbeat:
     """What a process says of itself, asked or in answer.
@@ -40,6 +62,7 @@
         addresses: Where further processes may be.
         admitted: Admissions since its start, by account.
         tokens: The fleet's tokens by account, for a process just started.
+        crashes: Crashes that it saw, by request.
         changes: Records that the receiver lacks.
         complete: Whether these are all records.
     """
@@ -53,6 +76,7 @@
     leaving: bool
     addresses: list[str]
     admitted: dict[str, int]
+    crashes: list[CrashCount]
     tokens: dict[str, float] | None = None
     changes: list[RecordChange] | None = None
     complete: bool = False
--- a/packages/gateway/tests/test_messages.py
+++ b/packages/gateway/tests/test_messages.py
@@ -16,6 +16,7 @@
     leaving=False,
     addresses=["127.0.0.1:2"],
     admitted={"acme": 3},
+    crashes=[messages.CrashCount("f", 2, 60.0)],
     tokens={"acme": -1.5},
     changes=[messages.RecordChange("k", 7, None)],
     complete=True,
