Serve nothing that came on a connection closed as idle

Such a request is dropped, so that its sender may repeat it, and connections stay open for 4.5 s instead of 3 s after the signal, in which nearly all are closed with an answer. Failed first: test_a_request_that_crosses_the_close_is_not_served.

--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -37,6 +37,9 @@
 # The balancer takes a host out after two questions, a second apart, that were
 # not answered with 200; callers keep their connections until then.
 _SERVE_ON_S = 3.0
+# Connections on which callers sent nothing for this long after the signal are
+# closed; all others were closed with an answer.
+_CLOSE_IDLE_S = 4.5
 # Time left for writing the last answers before the process is killed.
 _GRACE_MARGIN_S = 0.5
 _DRAIN_POLL_S = 0.05
@@ -175,10 +178,11 @@
         serve_until = min(began + _SERVE_ON_S, last)
         await asyncio.sleep(serve_until - clock.now())
         self._callers.stop_listening()
-        self._callers.close_idle()
-        while self._callers.in_flight and clock.now() < last:
+        close_idle_at = min(began + _CLOSE_IDLE_S, last)
+        while self._callers.connections and clock.now() < last:
             await asyncio.sleep(_DRAIN_POLL_S)
-            self._callers.close_idle()
+            if clock.now() >= close_idle_at:
+                self._callers.close_idle()
 
     async def stop(self) -> None:
         """Closes everything."""
--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -85,6 +85,11 @@
         self.closing = False
         self._exchanges: dict[object, _Exchange] = {}
 
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self._exchanges)
+
     @property
     def in_flight(self) -> int:
         """Requests of which something was read and that are not answered."""
@@ -141,6 +146,7 @@
         self._chunks: list[bytes] = []
         self._received_at = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._closed = False
 
     @property
     def idle(self) -> bool:
@@ -149,6 +155,7 @@
 
     def close(self) -> None:
         """Closes the connection."""
+        self._closed = True
         connection: http1connection.HTTP1Connection = self._connection  # type: ignore[assignment]
         connection.close()
 
@@ -167,6 +174,10 @@
 
     def finish(self) -> None:
         assert self._start is not None
+        if self._closed:
+            # Its bytes were in hand when the connection was closed as idle.
+            # Its sender may repeat it, so nothing must come of it here.
+            return
         request = Request(
             self._start.method,
             self._start.path,
--- /dev/null
+++ b/packages/gateway/tests/test_http_server.py
@@ -0,0 +1,115 @@
+"""The server of callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from cassiahead_gateway import http_server
+from cassiahead_wire import connection as wire
+
+_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def _free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class _Server:
+    """A server that counts what it was asked."""
+
+    def __init__(self, delay_s: float = 0.0) -> None:
+        self.address = _free_address()
+        self.asked = 0
+        self.cancelled = 0
+        self._delay_s = delay_s
+        self.http = http_server.HttpServer(self.address, self._handle)
+        self.http.listen()
+
+    async def _handle(self, request: http_server.Request) -> http_server.Reply:
+        self.asked += 1
+        try:
+            await asyncio.sleep(self._delay_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return http_server.plain_reply(200, request.body)
+
+
+def test_a_request_that_crosses_the_close_is_not_served() -> None:
+    async def main() -> None:
+        server = _Server()
+        host, _, port = server.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        while not server.http.connections:
+            await asyncio.sleep(0.01)
+        # The server's stream takes the bytes in, and before anyone looks at
+        # them the connection is closed as idle.
+        [exchange] = server.http._exchanges.values()
+        handle_read = exchange._connection.stream._handle_read
+
+        def read_and_close() -> None:
+            handle_read()
+            server.http.close_idle()
+
+        exchange._connection.stream._handle_read = read_and_close
+        writer.write(_REQUEST)
+        assert await reader.read() == b""
+        await asyncio.sleep(0.05)
+        assert server.asked == 0
+        await server.http.close()
+
+    asyncio.run(main())
+
+
+def test_requests_under_way_are_not_idle() -> None:
+    async def main() -> None:
+        server = _Server(0.2)
+        connection = await wire.Connection.open(server.address, 1)
+        asked = asyncio.ensure_future(connection.exchange("POST", "/", b"x", 5))
+        while not server.asked:
+            await asyncio.sleep(0.01)
+        server.http.closing = True
+        server.http.close_idle()
+        response = await asked
+        assert response.body == b"x"
+        assert response.headers["Connection"] == "close"
+        connection.close()
+        await server.http.close()
+
+    asyncio.run(main())
+
+
+def test_a_client_that_leaves_cancels_its_request() -> None:
+    async def main() -> None:
+        server = _Server(30.0)
+        connection = await wire.Connection.open(server.address, 1)
+        asked = asyncio.ensure_future(connection.exchange("POST", "/", b"x", 5))
+        while not server.asked:
+            await asyncio.sleep(0.01)
+        connection.close()
+        while not server.cancelled:
+            await asyncio.sleep(0.01)
+        asked.cancel()
+        await server.http.close()
+
+    asyncio.run(main())
+
+
+def test_bodies_come_with_a_length_or_in_chunks() -> None:
+    async def main() -> None:
+        server = _Server()
+        host, _, port = server.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        assert (await reader.readuntil(b"abcde")).endswith(b"abcde")
+        writer.close()
+        await server.http.close()
+
+    asyncio.run(main())
