Choose replicas by weight, trust and late answers; hedge by what is left

Answers that lost to a hedge were not learnt, so slow replicas kept an estimate near the others'. Now a replica is drawn by cost^-3 over all; late answers are learnt; a target that sheds or loses answers is trusted less instead of avoided; one that stays silent is avoided unless it answered others meanwhile; hedges go early only while three quarters of the reserve are left. Shards whose targets are all avoided are left out at once.

--- a/packages/decisions/src/cassiahead_decisions/hedging.py
+++ b/packages/decisions/src/cassiahead_decisions/hedging.py
@@ -99,8 +99,15 @@
         Returns:
             Whether there was credit.
         """
-        kept = 0.0 if needed else self.reserve / 2
-        if self._credit < 1.0 + kept:
+        return self.spend_above(0.0 if needed else 0.5)
+
+    def spend_above(self, kept_share: float) -> bool:
+        """Takes credit for one extra attempt if enough is left for others.
+
+        Args:
+            kept_share: Part of the reserve that must be left, 0 to 1.
+        """
+        if self._credit < 1.0 + kept_share * self.reserve:
             return False
         self._credit -= 1.0
         return True
--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -16,7 +16,14 @@
 
     from cassiahead_notes import api
 
-__all__ = ["ReplicaChooser", "ReplicaView", "candidates"]
+__all__ = [
+    "Policy",
+    "ReplicaChooser",
+    "ReplicaView",
+    "TwoChoices",
+    "Weighted",
+    "candidates",
+]
 
 _SMOOTHING = 0.2
 _UNKNOWN_LATENCY_S = 0.005
@@ -24,8 +31,15 @@
 _EJECTION_FIRST_S = 1.0
 _EJECTION_MAX_S = 20.0
 _EJECTED_COST_S = 1.0
+_LEAST_COST_S = 0.001
 _PANIC_FRACTION = 0.5
 _ESTIMATE_HALF_LIFE_S = 2.0
+# Part of the good answers that is forgotten with each outcome, and the time in
+# which a target that is not asked is trusted half as much again.
+_FAULT_SMOOTHING = 0.2
+_TRUST_HALF_LIFE_S = 3.0
+_LEAST_TRUST = 0.05
+_FULL_TRUST = 1.0
 
 
 def candidates(
@@ -37,6 +51,28 @@
     ]
 
 
+@attrs.frozen
+class TwoChoices:
+    """Takes the better of two replicas drawn at random."""
+
+
+@attrs.frozen
+class Weighted:
+    """Draws a replica with a probability that falls with its cost.
+
+    With few replicas two draws may both be bad ones. This spreads the load of
+    hosts that see the same, instead of all choosing the best one.
+
+    Attributes:
+        power: How steeply the probability falls with the cost.
+    """
+
+    power: float
+
+
+Policy = TwoChoices | Weighted
+
+
 @attrs.frozen
 class ReplicaView:
     """What an entry believes of one target.
@@ -61,6 +97,24 @@
     outstanding: int = 0
     failures: int = 0
     ejected_until: float = 0.0
+    answered_at: float = -math.inf
+    distrust: float = 0.0
+    judged_at: float = 0.0
+
+    def trust(self, now: float) -> float:
+        """Returns the part of requests expected to be answered well."""
+        age = max(0.0, now - self.judged_at)
+        distrust = self.distrust * math.exp2(-age / _TRUST_HALF_LIFE_S)
+        return max(_LEAST_TRUST, _FULL_TRUST - distrust)
+
+    def judge(self, good: bool, now: float) -> None:
+        """Takes one outcome into the trust."""
+        outcome = _FULL_TRUST if good else 0.0
+        trust = self.trust(now)
+        self.distrust = _FULL_TRUST - (
+            trust + _FAULT_SMOOTHING * (outcome - trust)
+        )
+        self.judged_at = now
 
     def estimate(self, now: float) -> float:
         """Returns the latency expected, which fades until it is seen anew.
@@ -93,6 +147,7 @@
     failure_domain: str
     _rng: random.Random
     _longest_ejection_s: float = _EJECTION_MAX_S
+    _policy: Policy = attrs.field(factory=TwoChoices)
     _seen: dict[str, _Seen] = attrs.field(factory=dict)
 
     def choose(
@@ -114,7 +169,7 @@
     def choose_among(
         self, domains: Mapping[str, str], now: float
     ) -> str | None:
-        """Returns the better of two replicas drawn at random.
+        """Returns the replica that is asked, by the policy.
 
         Args:
             domains: Failure domain of each replica to choose from.
@@ -127,12 +182,18 @@
         if not panic:
             kept = [t for t in pool if not self._entry(t, now).ejected(now)]
             pool = kept or pool
-        if len(pool) > 2:
-            pool = self._rng.sample(pool, 2)
-        return min(
-            pool,
-            key=lambda t: self._cost(t, domains[t], panic, now),
-        )
+        costs = {t: self._cost(t, domains[t], panic, now) for t in pool}
+        match self._policy:
+            case TwoChoices():
+                drawn = self._rng.sample(pool, min(2, len(pool)))
+                return min(sorted(drawn), key=lambda t: costs[t])
+            case Weighted(power):
+                weights = [costs[t] ** -power for t in pool]
+                return self._rng.choices(pool, weights)[0]
+
+    def panics(self, now: float) -> bool:
+        """Returns whether so many targets look bad that the observer may be."""
+        return self._panics(now)
 
     def avoids(self, target: str, now: float) -> bool:
         """Returns whether a target gets no work while others are left."""
@@ -159,6 +220,8 @@
         seen = self._entry(target, now)
         seen.outstanding = max(0, seen.outstanding - 1)
         seen.observe(latency, now)
+        seen.judge(True, now)
+        seen.answered_at = now
         seen.failures = 0
         seen.ejected_until = 0.0
 
@@ -174,6 +237,33 @@
         seen.failures = min(seen.failures + 1, 10)
         seen.ejected_until = now + min(pause, self._longest_ejection_s)
 
+    def misbehaved(self, target: str, now: float) -> None:
+        """Notes an answer that was refused, lost or wrong.
+
+        The target lives, so it is not avoided, but asked the less the more of
+        its requests end so.
+        """
+        seen = self._entry(target, now)
+        seen.outstanding = max(0, seen.outstanding - 1)
+        seen.judge(False, now)
+        seen.answered_at = now
+
+    def fell_silent(self, target: str, asked_at: float, now: float) -> None:
+        """Notes that nothing came of a request that had long been given up.
+
+        If another request was answered meanwhile, only its connection is
+        silent.
+
+        Args:
+            target: The target.
+            asked_at: When the request was sent.
+            now: Time on this process's clock.
+        """
+        seen = self._entry(target, now)
+        if seen.answered_at < asked_at:
+            seen.outstanding += 1
+            self.failed(target, now)
+
     def outlasted(self, target: str, elapsed: float, now: float) -> None:
         """Notes a request that was cancelled without an answer so far.
 
@@ -181,8 +271,19 @@
         """
         seen = self._entry(target, now)
         seen.outstanding = max(0, seen.outstanding - 1)
-        if elapsed > seen.estimate(now):
-            seen.observe(elapsed, now)
+        self.answered_late(target, elapsed, now)
+
+    def answered_late(self, target: str, latency: float, now: float) -> None:
+        """Notes the latency of an answer that nobody waited for any more.
+
+        Args:
+            target: The target.
+            latency: Seconds until it came, or at least until it was given up.
+            now: Time on this process's clock.
+        """
+        seen = self._entry(target, now)
+        if latency > seen.estimate(now):
+            seen.observe(latency, now)
 
     def forget(self, target: str) -> None:
         """Drops what is held of a target that is gone."""
@@ -205,7 +306,8 @@
 
     def _cost(self, target: str, domain: str, panic: bool, now: float) -> float:
         seen = self._entry(target, now)
-        cost = seen.estimate(now) * (1 + seen.outstanding)
+        cost = max(_LEAST_COST_S, seen.estimate(now)) * (1 + seen.outstanding)
+        cost /= seen.trust(now) ** 2
         if domain != self.failure_domain:
             cost += _OTHER_DOMAIN_S
         if not panic and seen.ejected(now):
--- a/packages/decisions/tests/test_replicas.py
+++ b/packages/decisions/tests/test_replicas.py
@@ -81,3 +81,77 @@
         asked += target == "a"
         chooser.answered(target, 0.08 if target == "a" else 0.005, now)
     assert 0 < asked <= 0.05 * 600
+
+
+def test_a_slow_replica_whose_answers_lose_to_hedges_is_asked_seldom() -> None:
+    rng = random.Random(5)
+    chooser = replicas.ReplicaChooser("d", rng, 4.0, replicas.Weighted(3.0))
+    domains = dict.fromkeys(("slow", "b", "c"), "d")
+    asked = 0
+    for number in range(600):
+        now = number * 0.05
+        target = chooser.choose_among(domains, now)
+        assert target is not None
+        chooser.sent(target, now)
+        if target == "slow":
+            # A hedge answers at 0.06 s; its own answer comes at 0.18 s.
+            asked += 1
+            chooser.abandoned(target, now + 0.06)
+            chooser.answered_late(target, 0.18, now + 0.18)
+        else:
+            chooser.answered(target, 0.016, now + 0.016)
+    assert asked < 30
+
+
+def _weighted(seed: int) -> replicas.ReplicaChooser:
+    rng = random.Random(seed)
+    return replicas.ReplicaChooser("d", rng, 4.0, replicas.Weighted(3.0))
+
+
+def test_one_good_replica_of_three_gets_nearly_all() -> None:
+    chooser = _weighted(2)
+    domains = dict.fromkeys(("bad1", "bad2", "good"), "d")
+    counts = dict.fromkeys(domains, 0)
+    for number in range(800):
+        now = number * 0.05
+        target = chooser.choose_among(domains, now)
+        assert target is not None
+        counts[target] += 1
+        chooser.sent(target, now)
+        latency = 0.016 if target == "good" else 0.18
+        chooser.answered(target, latency, now + latency)
+    assert counts["good"] > 0.85 * 800
+
+
+def test_replicas_that_shed_are_asked_less_and_recover() -> None:
+    chooser = _weighted(3)
+    domains = dict.fromkeys(("shedding", "b", "c"), "d")
+    counts = {True: 0, False: 0}
+    for number in range(1200):
+        now = number * 0.05
+        is_bad = now < 30
+        target = chooser.choose_among(domains, now)
+        assert target is not None
+        chooser.sent(target, now)
+        if target == "shedding":
+            counts[is_bad] += 1
+        if target == "shedding" and is_bad and number % 5:
+            chooser.misbehaved(target, now + 0.001)
+        else:
+            chooser.answered(target, 0.016, now + 0.016)
+    assert counts[True] < 0.15 * 600
+    assert counts[False] > 0.2 * 600
+
+
+def test_a_silent_connection_is_not_blamed_on_its_target() -> None:
+    chooser = _weighted(4)
+    chooser.sent("a", 0.0)
+    chooser.abandoned("a", 0.1)
+    chooser.sent("a", 0.1)
+    chooser.answered("a", 0.02, 0.12)
+    chooser.fell_silent("a", 0.0, 0.4)
+    assert not chooser.avoids("a", 0.5)
+    chooser.sent("a", 1.0)
+    chooser.abandoned("a", 1.1)
+    chooser.fell_silent("a", 1.0, 1.4)
+    assert chooser.avoids("a", 1.5)
--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -124,13 +124,32 @@
         except wire.WireError as error:
             return self._failed(target, request, connection, error, started)
         except asyncio.CancelledError:
-            now = clock.now()
-            self._chooser.outlasted(target.id, now - started, now)
-            if connection is not None:
-                self._links.leave(target.id, connection)
+            self._leave(target, connection, started)
             raise
         return self._received(target, request, connection, response, started)
 
+    def _leave(
+        self,
+        target: api.Target,
+        connection: wire.Connection | None,
+        started: float,
+    ) -> None:
+        """Gives an attempt up, but learns how long it would have taken."""
+        now = clock.now()
+        if connection is None:
+            self._chooser.outlasted(target.id, now - started, now)
+            return
+        self._chooser.abandoned(target.id, now)
+
+        def on_end(answered: bool) -> None:
+            ended = clock.now()
+            if answered:
+                self._chooser.answered_late(target.id, ended - started, ended)
+            else:
+                self._chooser.fell_silent(target.id, started, ended)
+
+        self._links.leave(target.id, connection, on_end)
+
     def _headers(
         self, target: api.Target, request: Outgoing
     ) -> httputil.HTTPHeaders:
@@ -151,10 +170,13 @@
         now = clock.now()
         if connection is not None:
             self._links.drop(target.id, connection)
-        if error.fault is wire.Fault.TIMEOUT:
-            self._chooser.outlasted(target.id, now - started, now)
-        else:
-            self._chooser.failed(target.id, now)
+        match error.fault:
+            case wire.Fault.TIMEOUT:
+                self._chooser.outlasted(target.id, now - started, now)
+            case wire.Fault.CONNECT:
+                self._chooser.failed(target.id, now)
+            case wire.Fault.CLOSED | wire.Fault.MALFORMED:
+                self._chooser.misbehaved(target.id, now)
         if not error.sent:
             return NotRun(f"no connection: {error.fault}", arrived=False)
         if error.fault is wire.Fault.CLOSED:
@@ -176,17 +198,17 @@
         fault = self._fault(request, response)
         if fault is not None:
             self._links.drop(target.id, connection)
-            self._chooser.failed(target.id, now)
+            self._chooser.misbehaved(target.id, now)
             return Lost(fault)
         self._links.put_back(target.id, connection)
         if names.not_run in response.headers:
-            self._chooser.failed(target.id, now)
+            self._chooser.misbehaved(target.id, now)
             return NotRun(f"target said {response.status}", arrived=True)
         if response.status == _NOT_FOUND_HERE:
-            self._chooser.failed(target.id, now)
+            self._chooser.misbehaved(target.id, now)
             return NotRun("the address is another target's", arrived=True)
         if response.status >= _SERVER_ERROR:
-            self._chooser.failed(target.id, now)
+            self._chooser.misbehaved(target.id, now)
         else:
             self._chooser.answered(target.id, now - started, now)
             self._crashes.table.cleared(request.fingerprint)
--- a/packages/gateway/src/cassiahead_gateway/context.py
+++ b/packages/gateway/src/cassiahead_gateway/context.py
@@ -40,12 +40,15 @@
 # A target that failed is asked again at least this often, in seconds: crashed
 # ones are back, or their entries gone, within about that time.
 _LONGEST_EJECTION_S = 4.0
+# Among three replicas, one that costs three times as much as the others gets
+# 1 in 50 of the requests, enough to see it recover.
+_COST_POWER = 3.0
 # Part of a route's attempts that are answered before a second replica is
 # asked; the rest is within the budget for extra requests.
-_HEDGE_QUANTILE = 0.9
+_HEDGE_QUANTILE = 0.8
 # Latest time for a hedge, as a part of the target latency: its answer must
 # still come in time.
-_LATEST_HEDGE = 0.4
+_LATEST_HEDGE = 0.35
 
 
 @attrs.define(eq=False)
@@ -96,7 +99,10 @@
         process = f"{settings.name}-{rng.getrandbits(48):012x}"
         links = links_lib.Links()
         chooser = replicas.ReplicaChooser(
-            settings.failure_domain, rng, _LONGEST_EJECTION_S
+            settings.failure_domain,
+            rng,
+            _LONGEST_EJECTION_S,
+            replicas.Weighted(_COST_POWER),
         )
         quota = fleet_quota.FleetQuota()
         crashes = crashes_lib.CrashWatch(
@@ -161,10 +167,15 @@
             self._windows[route] = window
         return window
 
-    def hedge_delay(self, route: api.Route) -> float:
-        """Returns the seconds after which a second replica is asked."""
-        learnt = self.window(route.name).hedge_delay
-        return min(learnt, _LATEST_HEDGE * route.target_latency_s)
+    def hedge_delays(self, route: api.Route) -> tuple[float, float]:
+        """Returns when a second replica is asked, in seconds.
+
+        Returns:
+            The time from which it is asked if there is credit to spare, and
+            the one from which it is asked at any rate.
+        """
+        latest = _LATEST_HEDGE * route.target_latency_s
+        return min(self.window(route.name).hedge_delay, latest), latest
 
     def split(self, route: str) -> traffic_split.TrafficSplit:
         """Returns the running split of a route."""
@@ -196,14 +207,19 @@
         return None
 
     def has_targets(self, service: str, homes: Collection[str]) -> bool:
-        """Returns whether a service has a target that is not avoided."""
+        """Returns whether a service has a target that may well answer.
+
+        Targets that were found dead are asked again when they are no longer
+        avoided; until then a request need not wait for them.
+        """
         now = clock.now()
-        return any(
-            not self.chooser.avoids(t.id, now)
-            for t in self._usable(service, homes)
-        )
+        candidates = self._allowed(service, homes)
+        if self.chooser.panics(now):
+            return bool(candidates)
+        return any(not self.chooser.avoids(t.id, now) for t in candidates)
 
     def _usable(self, service: str, homes: Collection[str]) -> list[api.Target]:
+        """Returns the targets that have room for another request."""
         router = self.catalogue.router
         described = router and router.configuration.services.get(service)
         if not described:
@@ -211,12 +227,21 @@
         cap = links_lib.connection_cap(
             described.max_connections, self.fleet_size()
         )
+        return [
+            t
+            for t in self._allowed(service, homes)
+            if self.links.room(t.id, cap)
+        ]
+
+    def _allowed(
+        self, service: str, homes: Collection[str]
+    ) -> list[api.Target]:
+        """Returns the targets that may run a request."""
         regions = self.settings.regions
         return [
             t
             for t in self.catalogue.targets(service)
-            if self.links.room(t.id, cap)
-            and (not homes or regions.get(t.failure_domain) in homes)
+            if not homes or regions.get(t.failure_domain) in homes
         ]
 
     def _best(self, warm: list[api.Target], now: float) -> api.Target:
--- a/packages/gateway/src/cassiahead_gateway/links.py
+++ b/packages/gateway/src/cassiahead_gateway/links.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import attrs
 
-from cassiahead_wire import clock
 from cassiahead_wire import connection as wire
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = ["Links", "connection_cap"]
 
 _CONNECT_TIMEOUT_S = 0.4
@@ -85,9 +88,22 @@
         else:
             self._close(link, connection)
 
-    def leave(self, target: str, connection: wire.Connection) -> None:
-        """Gives a connection up whose answer nobody waits for."""
-        task = asyncio.ensure_future(self._await_late(target, connection))
+    def leave(
+        self,
+        target: str,
+        connection: wire.Connection,
+        on_end: Callable[[bool], None],
+    ) -> None:
+        """Gives a connection up whose answer nobody waits for.
+
+        Args:
+            target: The target.
+            connection: The connection.
+            on_end: Called with whether the answer came after all.
+        """
+        task = asyncio.ensure_future(
+            self._await_late(target, connection, on_end)
+        )
         self._late.add(task)
         task.add_done_callback(self._late.discard)
 
@@ -113,15 +129,19 @@
                 self._close(link, connection)
 
     async def _await_late(
-        self, target: str, connection: wire.Connection
+        self,
+        target: str,
+        connection: wire.Connection,
+        on_end: Callable[[bool], None],
     ) -> None:
-        until = clock.now() + _LATE_ANSWER_S
         try:
-            await connection.result(until - clock.now())
+            await connection.result(_LATE_ANSWER_S)
         except wire.WireError:
             self.drop(target, connection)
+            on_end(False)
             return
         self.put_back(target, connection)
+        on_end(True)
 
     def _close(self, link: _Link, connection: wire.Connection) -> None:
         link.open -= 1
--- a/packages/gateway/src/cassiahead_gateway/search.py
+++ b/packages/gateway/src/cassiahead_gateway/search.py
@@ -26,7 +26,13 @@
 _LOOK_AGAIN_S = 0.01
 # Part of the target latency for which a call may wait for room.
 _ROOM_PATIENCE = 0.25
-# Most rounds of hedges for one request.
+# Parts of the reserve for extra requests that hedges leave: the early ones are
+# made only from what would otherwise be lost, the later ones leave some for
+# answers that were lost for certain.
+_KEPT_EARLY = 0.75
+_KEPT_LATER = 0.2
+# Between rounds of hedges, as a part of the target latency.
+_HEDGE_AGAIN = 0.15
 _HEDGE_ROUNDS = 3
 _SHED_RETRY_AFTER_S = 0.3
 _NO_TARGET_RETRY_AFTER_S = 0.5
@@ -108,6 +114,7 @@
         for call in self._calls:
             call.begin()
         self._set_timers()
+        self._judge()
         try:
             await self._wait.ended
         finally:
@@ -144,18 +151,20 @@
         now = clock.now()
         route = self._route
         late_at = self._received_at + route.target_latency_s - _LATE_MARGIN_S
-        self._wait.after(self._context.hedge_delay(route), self._hedge, 1)
+        early, later = self._context.hedge_delays(route)
+        self._wait.after(early, self._hedge, _KEPT_EARLY, 0)
+        self._wait.after(later, self._hedge, _KEPT_LATER, _HEDGE_ROUNDS)
         self._wait.after(late_at - now, self._become_late)
         self._wait.after(self._request.deadline - now, self._wait.end)
         if any(c.waits_for_room for c in self._calls):
             self._wait.after(_LOOK_AGAIN_S, self._look_again)
 
-    def _hedge(self, round_number: int) -> None:
+    def _hedge(self, kept_share: float, rounds: int) -> None:
         for call in self._calls:
-            call.hedge()
-        if round_number < _HEDGE_ROUNDS:
-            delay = self._context.hedge_delay(self._route)
-            self._wait.after(delay, self._hedge, round_number + 1)
+            call.hedge(kept_share)
+        if rounds > 0:
+            delay = _HEDGE_AGAIN * self._route.target_latency_s
+            self._wait.after(delay, self._hedge, kept_share, rounds - 1)
 
     def _look_again(self) -> None:
         for call in self._calls:
@@ -243,6 +252,7 @@
         )
         call.begin()
         self._set_timers(call)
+        self._judge(call)
         try:
             await self._wait.ended
         finally:
@@ -263,8 +273,9 @@
 
     def _set_timers(self, call: service_call.ServiceCall) -> None:
         now = clock.now()
-        delay = self._context.hedge_delay(self._route)
-        self._wait.after(delay, call.hedge)
+        early, later = self._context.hedge_delays(self._route)
+        self._wait.after(early, call.hedge, _KEPT_EARLY)
+        self._wait.after(later, call.hedge, _KEPT_LATER)
         self._wait.after(self._request.deadline - now, self._wait.end)
         if call.waits_for_room:
             self._wait.after(_LOOK_AGAIN_S, self._look_again, call)
--- a/packages/gateway/src/cassiahead_gateway/service_call.py
+++ b/packages/gateway/src/cassiahead_gateway/service_call.py
@@ -84,7 +84,10 @@
     def begin(self) -> None:
         """Makes the first attempt, if a target can take it."""
         self._context.budget(self.service).first_attempts(1)
-        self.try_again()
+        if self._context.has_targets(self.service, self._homes):
+            self.try_again()
+        else:
+            self.lost = True
 
     def try_again(self) -> None:
         """Makes the first attempt, if it could not be made before."""
@@ -92,8 +95,12 @@
             cause = Cause.RETRY if self._tried else Cause.FIRST
             self._launch(cause)
 
-    def hedge(self) -> None:
-        """Asks a second replica, if the first is slow and that is allowed."""
+    def hedge(self, kept_share: float) -> None:
+        """Asks a second replica, if the first is slow and that is allowed.
+
+        Args:
+            kept_share: Part of the reserve that must be left for others.
+        """
         if self.settled or not self._route.idempotent:
             return
         if len(self._under_way) != 1 or not self._may_send():
@@ -101,7 +108,7 @@
         target = self._context.choose(self.service, self._tried, self._homes)
         if target is None:
             return
-        if self._context.budget(self.service).spend(needed=False):
+        if self._context.budget(self.service).spend_above(kept_share):
             self._send(target, Cause.HEDGE)
 
     def cancel(self) -> None:
