--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -182,7 +182,7 @@
         if not panic:
             kept = [t for t in pool if not self._entry(t, now).ejected(now)]
             pool = kept or pool
-        costs = {t: self._cost(t, domains[t], panic, now) for t in pool}
+        costs = self._costs(pool, domains, panic, now)
         match self._policy:
             case TwoChoices():
                 drawn = self._rng.sample(pool, min(2, len(pool)))
@@ -191,6 +191,16 @@
                 weights = [costs[t] ** -power for t in pool]
                 return self._rng.choices(pool, weights)[0]
 
+    def expected(self, targets: Collection[str], now: float) -> float:
+        """Returns the seconds in which the best of some replicas answers.
+
+        Args:
+            targets: The replicas; at least one.
+            now: Time on this process's clock.
+        """
+        best = min(self._entry(t, now).latency for t in targets)
+        return min(self._expected(t, best, now) for t in targets)
+
     def panics(self, now: float) -> bool:
         """Returns whether so many targets look bad that the observer may be."""
         return self._panics(now)
@@ -304,12 +314,31 @@
         bad = sum(1 for seen in self._seen.values() if seen.ejected(now))
         return bad > max(1, _PANIC_FRACTION * len(self._seen))
 
-    def _cost(self, target: str, domain: str, panic: bool, now: float) -> float:
+    def _costs(
+        self,
+        pool: list[str],
+        domains: Mapping[str, str],
+        panic: bool,
+        now: float,
+    ) -> dict[str, float]:
+        best = min(self._entry(t, now).latency for t in pool)
+        costs = {}
+        for target in pool:
+            seen = self._entry(target, now)
+            cost = self._expected(target, best, now) * (1 + seen.outstanding)
+            if domains[target] != self.failure_domain:
+                cost += _OTHER_DOMAIN_S
+            if not panic and seen.ejected(now):
+                cost += _EJECTED_COST_S
+            costs[target] = cost
+        return costs
+
+    def _expected(self, target: str, best: float, now: float) -> float:
+        """Returns the seconds expected until a target's good answer.
+
+        An estimate that was not renewed fades, but not below that of the
+        best replica: a target that answers nothing must not look fast.
+        """
         seen = self._entry(target, now)
-        cost = max(_LEAST_COST_S, seen.estimate(now)) * (1 + seen.outstanding)
-        cost /= seen.trust(now) ** 2
-        if domain != self.failure_domain:
-            cost += _OTHER_DOMAIN_S
-        if not panic and seen.ejected(now):
-            cost += _EJECTED_COST_S
-        return cost
+        estimate = max(_LEAST_COST_S, best, seen.estimate(now))
+        return estimate / seen.trust(now) ** 2
--- a/packages/gateway/src/cassiahead_gateway/links.py
+++ b/packages/gateway/src/cassiahead_gateway/links.py
@@ -14,7 +14,9 @@
 
 __all__ = ["Links", "connection_cap"]
 
-_CONNECT_TIMEOUT_S = 0.4
+# Links take some milliseconds; a target that takes no connection in this time
+# is lost, or its queue of connections is full.
+_CONNECT_TIMEOUT_S = 0.2
 # A connection whose answer nobody waits for is kept if the answer comes within
 # this time; then the target is made to stop, half a second at the latest after
 # its caller has gone.
--- a/packages/gateway/src/cassiahead_gateway/service_call.py
+++ b/packages/gateway/src/cassiahead_gateway/service_call.py
@@ -89,6 +89,11 @@
         else:
             self.lost = True
 
+    def leave_out(self) -> None:
+        """Makes no attempt at all."""
+        self._context.budget(self.service).first_attempts(1)
+        self.lost = True
+
     def try_again(self) -> None:
         """Makes the first attempt, if it could not be made before."""
         if self.waits_for_room:
