--- a/packages/gateway/src/cassiahead_gateway/context.py
+++ b/packages/gateway/src/cassiahead_gateway/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
