--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -191,16 +191,6 @@
                 weights = [costs[t] ** -power for t in pool]
                 return self._rng.choices(pool, weights)[0]
 
-    def expected(self, targets: Collection[str], now: float) -> float:
-        """Returns the seconds in which the best of some replicas answers.
-
-        Args:
-            targets: The replicas; at least one.
-            now: Time on this process's clock.
-        """
-        best = min(self._entry(t, now).latency for t in targets)
-        return min(self._expected(t, best, now) for t in targets)
-
     def panics(self, now: float) -> bool:
         """Returns whether so many targets look bad that the observer may be."""
         return self._panics(now)
--- a/packages/gateway/src/cassiahead_gateway/context.py
+++ b/packages/gateway/src/cassiahead_gateway/context.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from typing import TYPE_CHECKING
 
@@ -219,16 +218,6 @@
             return bool(candidates)
         return any(not self.chooser.avoids(t.id, now) for t in candidates)
 
-    def expected(self, service: str, homes: Collection[str]) -> float:
-        """Returns the seconds in which a service's best target answers.
-
-        Infinite if it has none that may well answer.
-        """
-        if not self.has_targets(service, homes):
-            return math.inf
-        targets = [t.id for t in self._allowed(service, homes)]
-        return self.chooser.expected(targets, clock.now())
-
     def _usable(self, service: str, homes: Collection[str]) -> list[api.Target]:
         """Returns the targets that have room for another request."""
         router = self.catalogue.router
--- a/packages/gateway/src/cassiahead_gateway/errors.py
+++ b/packages/gateway/src/cassiahead_gateway/errors.py
@@ -23,7 +23,6 @@
     OVER_QUOTA = ("CG07", 429)
     NO_TARGET = ("CG08", 503)
     SHED = ("CG09", 503)
-    OVERLOADED = ("CG10", 503)
     TARGET_LOST = ("CG12", 502)
     DEADLINE = ("CG13", 504)
     COVERAGE_TOO_LOW = ("CG14", 502)
--- a/packages/gateway/src/cassiahead_gateway/search.py
+++ b/packages/gateway/src/cassiahead_gateway/search.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import math
 
 import attrs
 from tornado import httputil
 
 from cassiahead_decisions import gathering
-from cassiahead_decisions import shard_admission
 from cassiahead_gateway import api
 from cassiahead_gateway import attempts
 from cassiahead_gateway import context as context_lib
@@ -38,8 +36,6 @@
 _HEDGE_ROUNDS = 3
 _SHED_RETRY_AFTER_S = 0.3
 _NO_TARGET_RETRY_AFTER_S = 0.5
-# Overloaded shards recover as fast as their queues, of some 100 ms, empty.
-_OVERLOADED_RETRY_AFTER_S = 0.3
 
 
 @attrs.define
@@ -103,7 +99,7 @@
         Raises:
             errors.RequestError: If too few shards answered in time.
         """
-        left_out = self._plan()
+        dark = self._dark_shards()
         self._calls = [
             service_call.ServiceCall(
                 shard,
@@ -116,7 +112,7 @@
             for shard in self._scatter.shards
         ]
         for call in self._calls:
-            if call.service in left_out:
+            if call.service in dark:
                 call.leave_out()
             else:
                 call.begin()
@@ -137,37 +133,25 @@
             len(self._scatter.shards), self._scatter.least_share
         )
 
-    def _plan(self) -> frozenset[str]:
-        """Returns the shards that are not asked.
+    def _dark_shards(self) -> frozenset[str]:
+        """Returns the shards without a target that may well answer.
 
         Raises:
-            errors.RequestError: If too few shards could answer in time.
+            errors.RequestError: If an answer may not lack so many.
         """
         shards = self._scatter.shards
-        expected = {s: self._context.expected(s, self._homes) for s in shards}
-        may_lack = len(shards) - self._least
-        dark = [s for s in shards if math.isinf(expected[s])]
+        dark = frozenset(
+            s for s in shards if not self._context.has_targets(s, self._homes)
+        )
+        if len(shards) - len(dark) >= self._least:
+            return dark
         self.trace.parts = len(shards)
-        if len(dark) > may_lack:
-            self.trace.missing = dark
-            raise errors.RequestError(
-                errors.Code.NO_TARGET,
-                f"{len(dark)} shards have no target that answers",
-                _NO_TARGET_RETRY_AFTER_S,
-            )
-        alive = {s: expected[s] for s in shards if s not in dark}
-        allowed = self._route.target_latency_s - _LATE_MARGIN_S
-        plan = shard_admission.plan(
-            alive, allowed, may_lack - len(dark), self._context.rng
+        self.trace.missing = sorted(dark)
+        raise errors.RequestError(
+            errors.Code.NO_TARGET,
+            f"{len(dark)} shards have no target that answers",
+            _NO_TARGET_RETRY_AFTER_S,
         )
-        if not plan.admitted:
-            self.trace.missing = sorted(plan.left_out)
-            raise errors.RequestError(
-                errors.Code.OVERLOADED,
-                f"more than {may_lack} shards are overloaded",
-                _OVERLOADED_RETRY_AFTER_S,
-            )
-        return plan.left_out.union(dark)
 
     def _set_timers(self) -> None:
         now = clock.now()
