--- a/packages/gateway/src/cassiahead_gateway/context.py
+++ b/packages/gateway/src/cassiahead_gateway/context.py
@@ -40,9 +40,9 @@
 # A target that failed is asked again at least this often, in seconds: crashed
 # ones are back, or their entries gone, within about that time.
 _LONGEST_EJECTION_S = 4.0
-# Among three replicas, one that costs three times as much as the others gets
-# 1 in 50 of the requests, enough to see it recover.
-_COST_POWER = 3.0
+# One replica of three that costs half as much again as the others gets 1 in 50
+# of the requests, enough to see it recover.
+_COST_POWER = 8.0
 # Part of a route's attempts that are answered before a second replica is
 # asked; the rest is within the budget for extra requests.
 _HEDGE_QUANTILE = 0.8
