--- a/packages/wire/src/cassiahead_wire/connection.py
+++ b/packages/wire/src/cassiahead_wire/connection.py
@@ -29,8 +29,10 @@
 _MAX_HEADER_BYTES = 16 * 1024
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _IDLE_LIMIT_S = 5.0
-# A connection is given up this long before its peer may close it.
-_IDLE_MARGIN_S = 0.5
+# A connection is given up this long before its peer may close it: a fifth of
+# the time that the peer names, which may be a second only.
+_IDLE_MARGIN = 0.2
+_MOST_IDLE_MARGIN_S = 0.5
 # A peer that is silent is noticed after about 3 s, within the 4 s after which
 # the platform counts a host as connected again.
 _KEEP_ALIVE_OPTIONS = (
@@ -351,7 +353,8 @@
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
-            return max(0.0, int(value) - _IDLE_MARGIN_S)
+            margin = min(_MOST_IDLE_MARGIN_S, _IDLE_MARGIN * int(value))
+            return int(value) - margin
     return math.inf
 
 
