--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	PYTHONPATH=packages/daemon/tests $(PYTHON) benchmarks/tail.py
 	PYTHONPATH=packages/daemon/tests $(PYTHON) benchmarks/overload.py
 	$(PYTHON) benchmarks/slopes.py
+	$(PYTHON) benchmarks/gateway_slopes.py
 
 refusals: install
 	PYTHONPATH=packages/decisions/tests $(PYTHON) benchmarks/refusals.py
--- /dev/null
+++ b/packages/decisions/src/cassiahead_decisions/ceiling.py
@@ -0,0 +1,32 @@
+"""How many rights a resource is divided into."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ["Ceiling"]
+
+
+@attrs.define
+class Ceiling:
+    """The number of rights to a resource; the larger of old and new rules."""
+
+    overlap: float
+    _value: int = 1
+    _previous: int = 1
+    _changed_at: float = float("-inf")
+
+    def configure(self, value: int, now: float) -> None:
+        """Takes over the ceiling that came into force at ``now``."""
+        if value == self._value:
+            return
+        first = self._changed_at == float("-inf")
+        self._previous = value if first else self.governing(now)
+        self._value = value
+        self._changed_at = now
+
+    def governing(self, now: float) -> int:
+        """Returns the ceiling to divide by."""
+        if now >= self._changed_at + self.overlap:
+            return self._value
+        return max(self._value, self._previous)
--- a/packages/decisions/src/cassiahead_decisions/limiter.py
+++ b/packages/decisions/src/cassiahead_decisions/limiter.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from cassiahead_decisions import homes
+from cassiahead_decisions import ceiling as ceiling_lib
 from cassiahead_decisions import rights
 
 if TYPE_CHECKING:
@@ -79,7 +79,7 @@
     """Admits requests of client accounts by the rights held here."""
 
     _borrower: rights.Borrower
-    _ceiling: homes.Ceiling
+    _ceiling: ceiling_lib.Ceiling
     _buckets: dict[str, _Bucket] = attrs.field(factory=dict)
     _limits: dict[str, _Limit] = attrs.field(factory=dict)
 
--- a/packages/decisions/src/cassiahead_decisions/peering.py
+++ b/packages/decisions/src/cassiahead_decisions/peering.py
@@ -13,6 +13,7 @@
 import attrs
 
 from cassiahead_decisions import book as book_lib
+from cassiahead_decisions import ceiling as ceiling_lib
 from cassiahead_decisions import homes as homes_lib
 from cassiahead_decisions import limiter as limiter_lib
 from cassiahead_decisions import membership
@@ -70,7 +71,7 @@
     borrower: rights.Borrower = attrs.field(factory=rights.Borrower)
     members: membership.Members = attrs.field(init=False)
     lender: rights.Lender = attrs.field(init=False)
-    ceiling: homes_lib.Ceiling = attrs.field(init=False)
+    ceiling: ceiling_lib.Ceiling = attrs.field(init=False)
     _homes: homes_lib.HomeMap = attrs.field(init=False)
     _homes_basis: object = None
     _sequence: int = 0
@@ -81,7 +82,7 @@
         """Creates the parts that depend on the process."""
         self.members = membership.Members(self.process)
         self.lender = rights.Lender(self.started)
-        self.ceiling = homes_lib.Ceiling(limiter_lib.OVERLAP_S)
+        self.ceiling = ceiling_lib.Ceiling(limiter_lib.OVERLAP_S)
         self._homes = homes_lib.HomeMap({})
 
     def configure(self, configuration: notes.Configuration, now: float) -> None:
--- a/packages/decisions/tests/test_rates.py
+++ b/packages/decisions/tests/test_rates.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cassiahead_decisions import homes as homes_lib
+from cassiahead_decisions import ceiling as ceiling_lib
 from cassiahead_decisions import limiter as limiter_lib
 from cassiahead_decisions import rights
 from cassiahead_notes import api
@@ -54,7 +54,7 @@
 
 
 def _every_daemon_whole(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(homes_lib.Ceiling, "governing", lambda self, now: 1)
+    monkeypatch.setattr(ceiling_lib.Ceiling, "governing", lambda self, now: 1)
 
 
 @pytest.mark.parametrize(
--- a/packages/decisions/tests/test_rights.py
+++ b/packages/decisions/tests/test_rights.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from cassiahead_decisions import homes
+from cassiahead_decisions import ceiling as ceiling_lib
 from cassiahead_decisions import limiter as limiter_lib
 from cassiahead_decisions import rights
 from cassiahead_notes import api
@@ -79,7 +79,7 @@
 
 def test_ended_lease_takes_its_tokens_before_another_arrives() -> None:
     borrower = rights.Borrower()
-    ceiling = homes.Ceiling(limiter_lib.OVERLAP_S)
+    ceiling = ceiling_lib.Ceiling(limiter_lib.OVERLAP_S)
     ceiling.configure(2, 0.0)
     limiter = limiter_lib.AccountLimiter(borrower, ceiling)
     limiter.configure({"misr": api.Account(rate_per_s=10, burst=10)}, 0.0)
@@ -92,7 +92,7 @@
 
 def test_lowered_burst_cuts_what_had_gathered() -> None:
     borrower = rights.Borrower()
-    ceiling = homes.Ceiling(limiter_lib.OVERLAP_S)
+    ceiling = ceiling_lib.Ceiling(limiter_lib.OVERLAP_S)
     limiter = limiter_lib.AccountLimiter(borrower, ceiling)
     limiter.configure({"misr": api.Account(100, 50)}, 0.0)
     borrower.hold(_RESOURCE, "a", 0.0, rights.LEASE_S, 0.0)
