Serve only once the own rights may be lent

Cause of four known reds: a daemon called itself ready as soon as it had heard its peers, about 1.5 s after its start, but no rights are lent or used for 3.2 s. Beside load the processes of a fleet start up to a second apart, so that searches came while the homes of targets and accounts held one right of three: no slot of a target (72 retries of four searches within a second, then 504) and RATE_EXCEEDED far below the rate. Traced in the logs of a drained fleet that failed at a load average of 10: relays started at 1.02 s, searches at 3.67 s, their quarantine until 4.24 s.

Ruled out: too little processor time. The searches were retried every 30 ms for their whole second; a relay with rights answers them in 40 ms.

Conclusion: ready means that the own rights are usable. The limit of 3 s for hearing all processes is gone, as the wait for the rights is longer.

--- a/packages/decisions/src/cassiahead_decisions/peering.py
+++ b/packages/decisions/src/cassiahead_decisions/peering.py
@@ -27,8 +27,6 @@
 
 __all__ = ["Absorbed", "Peering", "identity"]
 
-_JOIN_LIMIT_S = 3.0
-
 
 def identity(process: api.Process) -> str:
     """Returns the name under which a process borrows rights."""
@@ -206,19 +204,21 @@
             self.lender.heard(started)
 
     def joined(self, now: float) -> bool:
-        """Returns whether a fresh process knows enough to serve.
+        """Returns whether a fresh process knows and holds enough to serve.
 
-        It has heard from all listed processes, or from at least one of them
-        after a while, and has read notes from the service or a peer.
+        It has read notes from the service or a peer, has heard from a listed
+        process, if there are others, and may use and lend its own rights: a
+        fleet that starts together could else promise what no home holds yet.
         """
         if self._joined:
             return True
         if self.book.ledger.number == 0:
             return False
+        if now < self.started + rights.QUARANTINE_S:
+            return False
         contacts = self.members.contacts()
         heard = self.members.replied_since(contacts, self.started)
-        waited = now >= self.started + _JOIN_LIMIT_S
-        self._joined = heard == len(contacts) or (waited and heard > 0)
+        self._joined = heard > 0 or not contacts
         return self._joined
 
     def standing(self, now: float) -> membership.Standing:
--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -149,6 +149,7 @@
     _longest_ejection_s: float = _EJECTION_MAX_S
     _policy: Policy = attrs.field(factory=TwoChoices)
     _seen: dict[str, _Seen] = attrs.field(factory=dict)
+    _ejected: dict[str, _Seen] = attrs.field(factory=dict)
 
     def choose(
         self,
@@ -236,6 +237,7 @@
         pause = _EJECTION_FIRST_S * 2**seen.failures
         seen.failures = min(seen.failures + 1, 10)
         seen.ejected_until = now + min(pause, self._longest_ejection_s)
+        self._ejected[target] = seen
 
     def misbehaved(self, target: str, now: float) -> None:
         """Notes an answer that was refused, lost or wrong.
@@ -288,6 +290,7 @@
     def forget(self, target: str) -> None:
         """Drops what is held of a target that is gone."""
         self._seen.pop(target, None)
+        self._ejected.pop(target, None)
 
     def abandoned(self, target: str, now: float) -> None:
         """Notes a request that was cancelled, without blame."""
@@ -301,7 +304,10 @@
         return seen
 
     def _panics(self, now: float) -> bool:
-        bad = sum(1 for seen in self._seen.values() if seen.ejected(now))
+        for target, seen in list(self._ejected.items()):
+            if not seen.ejected(now):
+                del self._ejected[target]
+        bad = len(self._ejected)
         return bad > max(1, _PANIC_FRACTION * len(self._seen))
 
     def _costs(
--- a/packages/decisions/tests/test_rates.py
+++ b/packages/decisions/tests/test_rates.py
@@ -217,3 +217,26 @@
             hidden = rng.choice(addresses)
             fleet.hosts.pop(hidden, None)
             fleet.at(soon, lambda: fleet.hosts.update({hidden: "entry"}))
+
+
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_fleet_that_starts_refuses_nobody_once_it_serves(seed: int) -> None:
+    """Hosts of a busy machine start a second apart, after a power cut."""
+    fleet = virtual_fleet.VirtualFleet(seed)
+    accounts = {"misr": api.Account(rate_per_s=2000, burst=400)}
+    fleet.publish(virtual_fleet.first_note(3, accounts))
+    starts = (0.0, fleet.rng.uniform(0.5, 1.5), fleet.rng.uniform(0.5, 1.5))
+    for number, at in enumerate(starts):
+        address = f"10.0.0.{number}:1"
+        fleet.at(at, lambda address=address: fleet.start(address))
+
+    def request() -> None:
+        serving = [node for node in fleet.nodes if node.serving()]
+        if serving:
+            fleet.request("misr", fleet.rng.choice(serving))
+
+    for step in range(100):
+        fleet.at(step / 12, request)
+    fleet.run_until(10.0)
+    assert len(fleet.ran["misr"]) > 40
+    assert not fleet.refused
