Keep to the room that targets have for connections

Cause: a host that loses power closes nothing, so its connections stay at the targets until these time out.

Ruled out: late or missing configuration after the cut.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 PACKAGES := wire telemetry notes protocol decisions daemon gateway ctl
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 
+# Test files that run at once: each may start a dozen processes.
+WORKERS := 3
+
 .PHONY: install demo test check long long-mixed measure refusals
 
 install: $(VENV)/installed
@@ -16,7 +19,7 @@
 	PYTHONPATH=packages/daemon/tests $(PYTHON) -m standins.demo
 
 test: install
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(WORKERS) --dist loadfile
 
 check: install
 	$(VENV)/bin/ruff format --check .
--- a/packages/ctl/src/cassiactl/main.py
+++ b/packages/ctl/src/cassiactl/main.py
@@ -8,7 +8,9 @@
 import cappa
 
 from cassiactl import check
+from cassiactl import check_settings
 from cassiactl import explain
+from cassiactl import explain_log
 from cassiactl import key
 from cassiactl import replicas
 from cassiactl import show
@@ -32,6 +34,8 @@
         | key.MakeKey
         | show.Show
         | explain.Explain
+        | explain_log.ExplainLog
+        | check_settings.CheckSettings
         | replicas.Replicas
     ]
 
--- a/packages/ctl/tests/test_commands.py
+++ b/packages/ctl/tests/test_commands.py
@@ -111,3 +111,108 @@
     assert run(["make-key", "--json"], monkeypatch) == 0
     plain = json.loads(capsys.readouterr().out)
     assert codec.text_digest(plain["key"]) == plain["digest"]
+
+
+_ID = "108e2d1c91d0f588"
+
+
+def log_line(at: float, name: str, **fields: object) -> str:
+    return json.dumps({"at": at, "event": 1, "name": name} | fields)
+
+
+def write_logs(folder: pathlib.Path) -> list[str]:
+    """Two hosts: one served the request, the other lost the same target."""
+    served = [
+        log_line(90.0, "PEER_LOST", peer="long before", heard=3),
+        log_line(98.0, "TARGET_GONE", target="i-1", service="s1"),
+        log_line(98.1, "TARGET_GONE", target="i-9", service="other"),
+        log_line(99.0, "PEER_LOST", peer="h2", heard=3),
+        "no event",
+        log_line(
+            100.02,
+            "ATTEMPT_FAILED",
+            request_id=_ID,
+            service="s1",
+            target="i-2",
+            reason="closed",
+        ),
+        log_line(
+            100.1,
+            "REQUEST_ANSWERED",
+            request_id=_ID,
+            status=200,
+            ms=100.0,
+            missing=["s1"],
+        ),
+    ]
+    other = [
+        log_line(
+            99.5,
+            "ATTEMPT_FAILED",
+            request_id="another",
+            service="s1",
+            target="i-2",
+            reason="closed",
+        ),
+        log_line(99.6, "PEER_LOST", peer="h1", heard=3),
+    ]
+    paths = []
+    for name, lines in (("h1", served), ("h2", other)):
+        path = folder / f"{name}.log"
+        path.write_text("\n".join(lines) + "\n")
+        paths.append(str(path))
+    return paths
+
+
+def test_explain_log_merges_what_hosts_tell_of_a_request(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    logs = write_logs(tmp_path)
+    assert run(["explain-log", _ID, *logs], monkeypatch) == 0
+    told = capsys.readouterr().out.splitlines()
+    assert told[0].endswith("h1.log: 1 lines are no events")
+    assert "ATTEMPT_FAILED" in told[1]
+    assert "REQUEST_ANSWERED" in told[2]
+    assert told[3] == "outcome: REQUEST_ANSWERED 200: answered"
+    around = told[5:]
+    assert [line.split()[3] for line in around] == [
+        "TARGET_GONE",
+        "PEER_LOST",
+        "ATTEMPT_FAILED",
+    ]
+    assert not any(
+        "i-9" in line or "h1  PEER_LOST  peer=h1" in line for line in around
+    )
+
+
+def test_explain_log_says_that_nothing_is_known(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    logs = write_logs(tmp_path)
+    assert run(["explain-log", "none", *logs], monkeypatch) == 1
+    missing = str(tmp_path / "missing.log")
+    assert run(["explain-log", _ID, missing], monkeypatch) == 2
+
+
+def test_check_settings_names_the_first_fault(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    plain = {
+        "name": "h1",
+        "failure_domain": "d1",
+        "callers": "127.0.0.1:1",
+        "readiness": "127.0.0.1:2",
+        "peers": "127.0.0.1:3",
+        "metrics": "127.0.0.1:4",
+        "configuration_service": "127.0.0.1:5",
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(plain))
+    assert run(["check-settings", str(path)], monkeypatch) == 0
+    path.write_text(json.dumps(plain | {"grace_s": -1}))
+    assert run(["check-settings", str(path)], monkeypatch) == 1
+    assert "$.grace_s" in capsys.readouterr().err
--- a/packages/daemon/tests/faults/test_processes.py
+++ b/packages/daemon/tests/faults/test_processes.py
@@ -15,6 +15,7 @@
 from standins import demo
 from standins import fleet as fleet_lib
 from standins import load
+from standins import ports
 from standins import proxy as proxy_lib
 
 if TYPE_CHECKING:
@@ -298,7 +299,7 @@
     """Something between relay and target loses track of connections."""
     name, target = next(iter(fleet.notes[0].add.targets.items()))
     behind = proxy_lib.ForgetfulProxy(fleet.target_ports[0])
-    port = fleet_lib.free_ports(1)[0]
+    port = ports.free_port()
     await behind.listen(port)
     await fleet.book(
         change=api.Entries(
--- a/packages/daemon/tests/standins/fleet.py
+++ b/packages/daemon/tests/standins/fleet.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -24,6 +23,7 @@
 
 from cassiahead_notes import api
 from cassiahead_notes import codec
+from standins import ports
 from standins import service as service_lib
 
 if TYPE_CHECKING:
@@ -32,8 +32,6 @@
 __all__ = ["Answer", "Daemon", "Fleet", "Shape", "running"]
 
 _READY_LIMIT_S = 20.0
-_FIRST_PORT, _LAST_PORT = 12000, 32000
-_next_port = _FIRST_PORT + os.getpid() * 97 % (_LAST_PORT - _FIRST_PORT)
 _TESTS = pathlib.Path(__file__).parent.parent
 _DOMAINS = ("cairo-a", "cairo-b", "cairo-c", "cairo-d")
 
@@ -158,7 +156,7 @@
     def add_daemon(self, role: str, domain: str) -> Daemon:
         """Prepares a daemon and lists it as a host."""
         inner, operators, callers = (
-            f"127.0.0.1:{port}" for port in free_ports(3)
+            f"127.0.0.1:{port}" for port in ports.free_ports(3)
         )
         number = len(self.daemons)
         settings = {
@@ -363,28 +361,12 @@
             fleet.close()
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns consecutive loopback ports that are free now.
-
-    They lie below the range from which outgoing connections get theirs, so
-    that none is taken between this call and its use.
-    """
-    global _next_port
-    while True:
-        ports = list(range(_next_port, _next_port + count))
-        _next_port += count
-        if _next_port > _LAST_PORT:
-            _next_port = _FIRST_PORT
-        if ports[-1] <= _LAST_PORT and all(_is_free(port) for port in ports):
-            return ports
-
-
 def _prepare(shape: Shape, folder: pathlib.Path) -> Fleet:
     service = service_lib.Service()
-    port = free_ports(1)[0]
+    port = ports.free_port()
     service.listen(port)
     fleet = Fleet(shape, folder, service, f"127.0.0.1:{port}")
-    fleet.target_ports = free_ports(shape.shards * shape.replicas)
+    fleet.target_ports = ports.free_ports(shape.shards * shape.replicas)
     domains = _DOMAINS[: shape.domains]
     for number in range(shape.entries):
         fleet.add_daemon("entry", domains[number % len(domains)])
@@ -393,15 +375,6 @@
     return fleet
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 def _digest(secret: str) -> str:
     return hashlib.sha256(secret.encode()).hexdigest()
 
--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -97,12 +97,13 @@
     _chooser: replicas.ReplicaChooser
     _crashes: crashes_lib.CrashWatch
 
-    async def send(
+    def send(
         self, target: api.Target, request: Outgoing, timeout: float
-    ) -> Outcome:
-        """Sends a request to a target.
+    ) -> asyncio.Task[Outcome]:
+        """Begins to send a request to a target.
 
-        If this is cancelled, the target is made to stop.
+        Its place at the target is taken at once, so that whoever chooses next
+        sees it. If the task is cancelled, the target is made to stop.
 
         Args:
             target: The target.
@@ -110,10 +111,29 @@
             timeout: Seconds until the answer must be complete.
         """
         started = clock.now()
+        checkout = self._links.check_out(target.id, target.address)
         self._chooser.sent(target.id, started)
-        connection = None
+        task = asyncio.ensure_future(
+            self._attempt(target, request, checkout, started, timeout)
+        )
+
+        def on_done(task: asyncio.Task[Outcome]) -> None:
+            if checkout.release_unused():
+                self._chooser.abandoned(target.id, clock.now())
+
+        task.add_done_callback(on_done)
+        return task
+
+    async def _attempt(
+        self,
+        target: api.Target,
+        request: Outgoing,
+        checkout: links_lib.Checkout,
+        started: float,
+        timeout: float,
+    ) -> Outcome:
         try:
-            connection = await self._links.take(target.id, target.address)
+            connection = await checkout.connect()
             response = await connection.exchange(
                 request.method,
                 request.path,
@@ -122,21 +142,21 @@
                 self._headers(target, request),
             )
         except wire.WireError as error:
-            return self._failed(target, request, connection, error, started)
+            return self._failed(target, request, checkout, error, started)
         except asyncio.CancelledError:
-            self._leave(target, connection, started)
+            self._leave(target, checkout, started)
             raise
-        return self._received(target, request, connection, response, started)
+        return self._received(target, request, checkout, response, started)
 
     def _leave(
         self,
         target: api.Target,
-        connection: wire.Connection | None,
+        checkout: links_lib.Checkout,
         started: float,
     ) -> None:
         """Gives an attempt up, but learns how long it would have taken."""
         now = clock.now()
-        if connection is None:
+        if checkout.connection is None:
             self._chooser.outlasted(target.id, now - started, now)
             return
         self._chooser.abandoned(target.id, now)
@@ -148,7 +168,7 @@
             else:
                 self._chooser.fell_silent(target.id, started, ended)
 
-        self._links.leave(target.id, connection, on_end)
+        self._links.leave(checkout, on_end)
 
     def _headers(
         self, target: api.Target, request: Outgoing
@@ -163,13 +183,12 @@
         self,
         target: api.Target,
         request: Outgoing,
-        connection: wire.Connection | None,
+        checkout: links_lib.Checkout,
         error: wire.WireError,
         started: float,
     ) -> Outcome:
         now = clock.now()
-        if connection is not None:
-            self._links.drop(target.id, connection)
+        checkout.drop(error.fault)
         match error.fault:
             case wire.Fault.TIMEOUT:
                 self._chooser.outlasted(target.id, now - started, now)
@@ -189,7 +208,7 @@
         self,
         target: api.Target,
         request: Outgoing,
-        connection: wire.Connection,
+        checkout: links_lib.Checkout,
         response: wire.Response,
         started: float,
     ) -> Outcome:
@@ -197,10 +216,10 @@
         names = self._names
         fault = self._fault(request, response)
         if fault is not None:
-            self._links.drop(target.id, connection)
+            checkout.drop()
             self._chooser.misbehaved(target.id, now)
             return Lost(fault)
-        self._links.put_back(target.id, connection)
+        checkout.put_back()
         if names.not_run in response.headers:
             self._chooser.misbehaved(target.id, now)
             return NotRun(f"target said {response.status}", arrived=True)
--- a/packages/gateway/src/cassiahead_gateway/crashes.py
+++ b/packages/gateway/src/cassiahead_gateway/crashes.py
@@ -44,8 +44,9 @@
     async def _look(
         self, target: api.Target, fingerprint: str, request_id: str
     ) -> None:
+        checkout = self._links.check_out(target.id, target.address)
         try:
-            connection = await self._links.take(target.id, target.address)
+            await checkout.connect()
         except wire.WireError:
             count = self.table.crashed(fingerprint, clock.now())
             events.log(
@@ -56,4 +57,4 @@
                 crashes=count,
             )
             return
-        self._links.put_back(target.id, connection)
+        checkout.put_back()
--- a/packages/gateway/src/cassiahead_gateway/exchange.py
+++ b/packages/gateway/src/cassiahead_gateway/exchange.py
@@ -147,7 +147,7 @@
             )
             heartbeat = messages.decode(response.body)
         except wire.WireError as error:
-            self._context.metrics.exchanges.add(1, {"result": error.fault})
+            self._context.metrics.exchanges.add(error.fault)
             return
         except messages.MessageError as error:
             events.log(
@@ -158,7 +158,7 @@
             return
         finally:
             line.busy = False
-        self._context.metrics.exchanges.add(1, {"result": "ok"})
+        self._context.metrics.exchanges.add("ok")
         line.revision = max(heartbeat.at, own.at)
         self._take(heartbeat)
         if heartbeat.at < own.at and own.changes is None:
--- a/packages/gateway/src/cassiahead_gateway/reader.py
+++ b/packages/gateway/src/cassiahead_gateway/reader.py
@@ -89,7 +89,7 @@
         except source_lib.SourceError as error:
             self._note_failure(error)
             return
-        self._context.metrics.reads.add(1, {"result": "ok"})
+        self._context.metrics.reads.add("ok")
         self._duty.succeeded()
         self._answered_at = clock.now()
         self._apply(changes)
@@ -101,7 +101,7 @@
         self._context.catalogue.apply(changes, 0.0, "service", clock.now())
 
     def _note_failure(self, error: source_lib.SourceError) -> None:
-        self._context.metrics.reads.add(1, {"result": error.fault.value})
+        self._context.metrics.reads.add(error.fault.value)
         if error.fault is source_lib.SourceFault.HISTORY_GONE:
             self._history_gone = True
             pause = 0.0
--- a/packages/gateway/src/cassiahead_gateway/search.py
+++ b/packages/gateway/src/cassiahead_gateway/search.py
@@ -24,8 +24,11 @@
 _LATE_MARGIN_S = 0.015
 # How often a call that found no target with room looks again.
 _LOOK_AGAIN_S = 0.01
-# Part of the target latency for which a call may wait for room.
-_ROOM_PATIENCE = 0.25
+# Part of the target latency for which a call waits for a target with room: one
+# of many shards while its answer can still come in time, a single one for as
+# long as a refusal is still early for the caller.
+_SHARD_PATIENCE = 0.6
+_SINGLE_PATIENCE = 0.25
 # Parts of the reserve for extra requests that hedges leave: the early ones are
 # made only from what would otherwise be lost, the later ones leave some for
 # answers that were lost for certain.
@@ -92,6 +95,7 @@
     _calls: list[service_call.ServiceCall] = attrs.field(factory=list)
     _wait: _Wait = attrs.field(factory=_Wait.begin)
     _late: bool = False
+    _looks_again: bool = False
 
     async def run(self) -> http_server.Reply:
         """Returns the merged answer.
@@ -107,6 +111,7 @@
                 self._route,
                 self._homes,
                 self._request,
+                _SHARD_PATIENCE * self._route.target_latency_s,
                 self._judge,
             )
             for shard in self._scatter.shards
@@ -162,8 +167,6 @@
         self._wait.after(later, self._hedge, _KEPT_LATER, _HEDGE_ROUNDS)
         self._wait.after(late_at - now, self._become_late)
         self._wait.after(self._request.deadline - now, self._wait.end)
-        if any(c.waits_for_room for c in self._calls):
-            self._wait.after(_LOOK_AGAIN_S, self._look_again)
 
     def _hedge(self, kept_share: float, rounds: int) -> None:
         for call in self._calls:
@@ -173,10 +176,10 @@
             self._wait.after(delay, self._hedge, kept_share, rounds - 1)
 
     def _look_again(self) -> None:
+        self._looks_again = False
         for call in self._calls:
             call.try_again()
-        if any(c.waits_for_room for c in self._calls):
-            self._wait.after(_LOOK_AGAIN_S, self._look_again)
+        self._judge()
 
     def _become_late(self) -> None:
         self._late = True
@@ -192,6 +195,11 @@
         )
         if verdict is not gathering.Verdict.WAIT:
             self._wait.end()
+        elif not self._looks_again and any(
+            c.waits_for_room for c in self._calls
+        ):
+            self._looks_again = True
+            self._wait.after(_LOOK_AGAIN_S, self._look_again)
 
     def _fill_trace(self) -> None:
         self.trace.parts = len(self._calls)
@@ -254,6 +262,7 @@
             self._route,
             self._homes,
             self._request,
+            _SINGLE_PATIENCE * self._route.target_latency_s,
             lambda: self._judge(call),
         )
         call.begin()
@@ -276,6 +285,8 @@
     def _judge(self, call: service_call.ServiceCall) -> None:
         if call.settled:
             self._wait.end()
+        elif call.waits_for_room:
+            self._wait.after(_LOOK_AGAIN_S, self._look_again, call)
 
     def _set_timers(self, call: service_call.ServiceCall) -> None:
         now = clock.now()
@@ -283,18 +294,10 @@
         self._wait.after(early, call.hedge, _KEPT_EARLY)
         self._wait.after(later, call.hedge, _KEPT_LATER)
         self._wait.after(self._request.deadline - now, self._wait.end)
-        if call.waits_for_room:
-            self._wait.after(_LOOK_AGAIN_S, self._look_again, call)
 
     def _look_again(self, call: service_call.ServiceCall) -> None:
         call.try_again()
-        if not call.waits_for_room:
-            return
-        waited = clock.now() - self._received_at
-        if waited >= _ROOM_PATIENCE * self._route.target_latency_s:
-            self._wait.end()
-        else:
-            self._wait.after(_LOOK_AGAIN_S, self._look_again, call)
+        self._judge(call)
 
     def _failure(
         self, call: service_call.ServiceCall, under_way: bool
--- a/packages/gateway/src/cassiahead_gateway/service_call.py
+++ b/packages/gateway/src/cassiahead_gateway/service_call.py
@@ -54,6 +54,7 @@
     _route: api.Route
     _homes: tuple[str, ...]
     _request: attempts.Outgoing
+    _room_patience_s: float
     _on_change: Callable[[], None]
     answer: attempts.Answered | None = None
     refusal: attempts.Answered | None = None
@@ -61,6 +62,7 @@
     may_have_run: bool = False
     sends: int = 0
     _runs: int = 0
+    _waits_since: float | None = None
     _tried: list[str] = attrs.field(factory=list)
     _under_way: dict[asyncio.Task[attempts.Outcome], _Attempt] = attrs.field(
         factory=dict
@@ -84,10 +86,7 @@
     def begin(self) -> None:
         """Makes the first attempt, if a target can take it."""
         self._context.budget(self.service).first_attempts(1)
-        if self._context.has_targets(self.service, self._homes):
-            self.try_again()
-        else:
-            self.lost = True
+        self.try_again()
 
     def leave_out(self) -> None:
         """Makes no attempt at all."""
@@ -95,10 +94,13 @@
         self.lost = True
 
     def try_again(self) -> None:
-        """Makes the first attempt, if it could not be made before."""
-        if self.waits_for_room:
-            cause = Cause.RETRY if self._tried else Cause.FIRST
-            self._launch(cause)
+        """Makes the attempt for which no target had room, or gives it up."""
+        if not self.waits_for_room:
+            return
+        if self._waited_in_vain(clock.now()):
+            self.lost = True
+            return
+        self._launch(Cause.RETRY if self._tried else Cause.FIRST)
 
     def hedge(self, kept_share: float) -> None:
         """Asks a second replica, if the first is slow and that is allowed.
@@ -123,6 +125,13 @@
             task.cancel()
         self._under_way.clear()
 
+    def _waited_in_vain(self, now: float) -> bool:
+        if self._waits_since is None:
+            self._waits_since = now
+        if now - self._waits_since >= self._room_patience_s:
+            return True
+        return not self._context.has_targets(self.service, self._homes)
+
     def _may_send(self) -> bool:
         # An attempt under way counts as one that runs.
         runs = self._runs + len(self._under_way)
@@ -139,8 +148,9 @@
     def _send(self, target: api.Target, cause: Cause) -> None:
         context = self._context
         self.sends += 1
+        self._waits_since = None
         self._tried.append(target.id)
-        context.metrics.attempts.add(1, {"cause": cause.value})
+        context.metrics.attempts.add(cause.value)
         if cause is not Cause.FIRST:
             events.log(
                 events.Event.ATTEMPT_ADDED,
@@ -153,9 +163,7 @@
                 tried=self._tried[:-1],
             )
         left = self._request.deadline - clock.now()
-        task = asyncio.ensure_future(
-            context.sender.send(target, self._request, left)
-        )
+        task = context.sender.send(target, self._request, left)
         self._under_way[task] = _Attempt(target.id, clock.now())
         task.add_done_callback(self._on_done)
 
@@ -183,7 +191,7 @@
         match outcome:
             case attempts.Answered() if outcome.good:
                 self.answer = outcome
-                self._context.metrics.outcomes.add(1, {"outcome": "good"})
+                self._context.metrics.outcomes.add("good")
                 return
             case attempts.Answered(response, stamp):
                 self._runs += 1
@@ -201,7 +209,7 @@
                 self._runs += 1
                 self.may_have_run = True
                 retry = self._route.idempotent
-        self._context.metrics.outcomes.add(1, {"outcome": "bad"})
+        self._context.metrics.outcomes.add("bad")
         events.log(
             events.Event.ATTEMPT_FAILED,
             ordinary=True,
@@ -214,14 +222,13 @@
         )
         if self._under_way:
             return
-        if retry:
-            self._retry(charged)
-        if not self._under_way:
+        if retry and self._may_retry(charged):
+            # If no target has room now, the call waits for one.
+            self._launch(Cause.RETRY)
+        else:
             self.lost = True
 
-    def _retry(self, charged: bool) -> None:
+    def _may_retry(self, charged: bool) -> bool:
         if not self._may_send() or self._request.deadline <= clock.now():
-            return
-        if charged and not self._context.budget(self.service).spend():
-            return
-        self._launch(Cause.RETRY)
+            return False
+        return not charged or self._context.budget(self.service).spend()
--- a/packages/wire/src/cassiahead_wire/connection.py
+++ b/packages/wire/src/cassiahead_wire/connection.py
@@ -181,7 +181,7 @@
         path: str,
         body: bytes,
         timeout: float,
-        headers: Mapping[str, str] | None = None,
+        headers: httputil.HTTPHeaders | Mapping[str, str] | None = None,
         on_data: Callable[[bytes], None] | None = None,
     ) -> Response:
         """Sends a request and reads the response.
@@ -194,7 +194,8 @@
             path: Path with query.
             body: Request body.
             timeout: Seconds until the response must be complete.
-            headers: Further headers; ``Host`` is the address by default.
+            headers: Further headers; ``Host`` is the address by default. The
+                connection adds its own to them.
             on_data: Called with each piece of the body as it arrives.
 
         Raises:
@@ -211,7 +212,7 @@
                 max_body_size=_MAX_BODY_BYTES,
             ),
         )
-        all_headers = httputil.HTTPHeaders(headers or {})
+        all_headers = _own_headers(headers)
         if "Host" not in all_headers:
             all_headers["Host"] = self._address
         all_headers["Content-Length"] = str(len(body))
@@ -337,6 +338,14 @@
         return None
 
 
+def _own_headers(
+    headers: httputil.HTTPHeaders | Mapping[str, str] | None,
+) -> httputil.HTTPHeaders:
+    if isinstance(headers, httputil.HTTPHeaders):
+        return headers
+    return httputil.HTTPHeaders(headers or {})
+
+
 def _ignore_close() -> None:
     pass
 
