Ask targets that failed one request at a time

Cause: a dead replica is avoided for 1 to 4 s, and then gets every request until it is found silent again 0.4 s later.

Ruled out: slow targets.

Change: a request to a target that failed and has not answered since keeps the others away for 0.5 s (a half-open circuit breaker).

--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -31,6 +31,9 @@
 _EJECTION_FIRST_S = 1.0
 _EJECTION_MAX_S = 20.0
 _EJECTED_COST_S = 1.0
+# Time between two requests to a target that failed and has not answered since:
+# a request and the wait for its late answer.
+_PROBE_S = 0.5
 _LEAST_COST_S = 0.001
 _PANIC_FRACTION = 0.5
 _ESTIMATE_HALF_LIFE_S = 2.0
@@ -216,8 +219,16 @@
         }
 
     def sent(self, target: str, now: float) -> None:
-        """Notes a request sent to a target."""
-        self._entry(target, now).outstanding += 1
+        """Notes a request sent to a target.
+
+        One that failed and has not answered since gets one request at a time,
+        so that a dead target holds up few of those that could do without it.
+        """
+        seen = self._entry(target, now)
+        seen.outstanding += 1
+        if seen.failures:
+            seen.ejected_until = max(seen.ejected_until, now + _PROBE_S)
+            self._ejected[target] = seen
 
     def answered(self, target: str, latency: float, now: float) -> None:
         """Notes a good answer and its latency in seconds."""
--- a/packages/decisions/tests/test_replicas.py
+++ b/packages/decisions/tests/test_replicas.py
@@ -155,3 +155,34 @@
     chooser.abandoned("a", 1.1)
     chooser.fell_silent("a", 1.0, 1.4)
     assert chooser.avoids("a", 1.5)
+
+
+def test_dead_replicas_of_a_shard_hold_up_few_searches() -> None:
+    """All replicas of a shard fall silent under 25 searches a second.
+
+    Each is given up after 0.1 s and found silent 0.3 s later, as the gateway
+    does. While none may well answer, searches leave the shard out.
+    """
+    chooser = _weighted(5)
+    domains = dict.fromkeys(("a", "b", "c"), "d")
+    for number in range(20):
+        chooser.sent(f"other{number}", 0.0)
+        chooser.answered(f"other{number}", 0.01, 0.01)
+    found: list[tuple[float, str, float]] = []
+    held_up = 0
+    for number in range(25 * 20):
+        now = number / 25
+        while found and found[0][0] <= now:
+            at, target, asked_at = found.pop(0)
+            chooser.fell_silent(target, asked_at, at)
+        if all(chooser.avoids(t, now) for t in domains):
+            continue
+        held_up += 1
+        target = chooser.choose_among(domains, now)
+        assert target is not None
+        chooser.sent(target, now)
+        chooser.abandoned(target, now + 0.1)
+        found.append((now + 0.4, target, now))
+    # The first 0.4 s are not known to be lost: 10 searches. Then each target is
+    # asked once after 1, 2, and 4 s, and again each 4.4 s.
+    assert held_up <= 10 + 3 * (3 + 20 / 4.4)
