Begin a search only when enough shards have room for it

Change: a search waits for at most a quarter of the target latency until as many shards as an answer needs have a target with room, and is refused as not run if they have none; nothing was sent then. All hosts keep at most 7 requests at a target for each that it runs at once. A call of a search that has begun waits for room until the answer is late (0.6 of that before).

--- a/packages/gateway/src/cassiahead_gateway/context.py
+++ b/packages/gateway/src/cassiahead_gateway/context.py
@@ -221,19 +221,29 @@
             return bool(candidates)
         return any(not self.chooser.avoids(t.id, now) for t in candidates)
 
+    def has_room(self, service: str, homes: Collection[str]) -> bool:
+        """Returns whether a target that may well answer takes a request now."""
+        now = clock.now()
+        return any(
+            not self.chooser.avoids(t.id, now)
+            and not self.catalogue.is_cold(t.id, now)
+            for t in self._usable(service, homes)
+        )
+
     def _usable(self, service: str, homes: Collection[str]) -> list[api.Target]:
         """Returns the targets that have room for another request."""
         router = self.catalogue.router
         described = router and router.configuration.services.get(service)
         if not described:
             return []
-        cap = links_lib.connection_cap(
-            described.max_connections, self.fleet_size()
-        )
+        fleet_size = self.fleet_size()
+        cap = links_lib.connection_cap(described.max_connections, fleet_size)
         return [
             t
             for t in self._allowed(service, homes)
-            if self.links.room(t.id, cap)
+            if self.links.room(
+                t.id, min(cap, links_lib.work_cap(t.slots, fleet_size))
+            )
         ]
 
     def _allowed(
--- a/packages/gateway/src/cassiahead_gateway/links.py
+++ b/packages/gateway/src/cassiahead_gateway/links.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["Checkout", "Links", "connection_cap"]
+__all__ = ["Checkout", "Links", "connection_cap", "work_cap"]
 
 # Links take some milliseconds; a target that takes no connection in this time
 # is lost, or its queue of connections is full.
@@ -31,6 +31,9 @@
 # Share of a target's connections that the fleet uses, so that hosts which
 # restart find some left.
 _CAP_USED = 0.9
+# Requests that all hosts keep at a target for each that it runs at once: more
+# would wait there for longer than their callers, or be turned away.
+_HELD_PER_SLOT = 7
 # Connections beyond the first are closed when they were not used for so long,
 # in seconds: those of hosts that lose power take up room at the target.
 _SURPLUS_IDLE_S = 1.0
@@ -255,6 +258,11 @@
     return max(1, int(_CAP_USED * max_connections / fleet_size))
 
 
+def work_cap(slots: int, fleet_size: int) -> int:
+    """Returns the requests that one host of a fleet may have at a target."""
+    return max(1, math.ceil(_HELD_PER_SLOT * slots / fleet_size))
+
+
 async def _await_late(
     checkout: Checkout, on_end: Callable[[bool], None]
 ) -> None:
--- a/packages/gateway/src/cassiahead_gateway/search.py
+++ b/packages/gateway/src/cassiahead_gateway/search.py
@@ -25,9 +25,9 @@
 # How often a call that found no target with room looks again.
 _LOOK_AGAIN_S = 0.01
 # Part of the target latency for which a call waits for a target with room: one
-# of many shards while its answer can still come in time, a single one for as
-# long as a refusal is still early for the caller.
-_SHARD_PATIENCE = 0.6
+# of many shards until the answer is late, a single one for as long as a refusal
+# is still early for the caller.
+_SHARD_PATIENCE = 1.0
 _SINGLE_PATIENCE = 0.25
 # Parts of the reserve for extra requests that hedges leave: the early ones are
 # made only from what would otherwise be lost, the later ones leave some for
@@ -104,6 +104,7 @@
             errors.RequestError: If too few shards answered in time.
         """
         dark = self._dark_shards()
+        await self._until_room(dark)
         self._calls = [
             service_call.ServiceCall(
                 shard,
@@ -158,6 +159,34 @@
             _NO_TARGET_RETRY_AFTER_S,
         )
 
+    async def _until_room(self, dark: frozenset[str]) -> None:
+        """Waits until as many shards as an answer needs have room for it.
+
+        What is begun without would take places of searches that can still be
+        answered, and come to nothing.
+
+        Raises:
+            errors.RequestError: If there is none while a refusal is early.
+        """
+        patience = _SINGLE_PATIENCE * self._route.target_latency_s
+        while not self._has_room(dark):
+            if clock.now() - self._received_at >= patience:
+                self.trace.parts = len(self._scatter.shards)
+                raise errors.RequestError(
+                    errors.Code.SHED,
+                    "too few shards have room for another search",
+                    _SHED_RETRY_AFTER_S,
+                )
+            await asyncio.sleep(_LOOK_AGAIN_S)
+
+    def _has_room(self, dark: frozenset[str]) -> bool:
+        able = sum(
+            1
+            for shard in self._scatter.shards
+            if shard not in dark and self._context.has_room(shard, self._homes)
+        )
+        return able >= self._least
+
     def _set_timers(self) -> None:
         now = clock.now()
         route = self._route
