--- a/packages/ctl/src/cassiactl/explain_log.py
+++ b/packages/ctl/src/cassiactl/explain_log.py
@@ -71,6 +71,8 @@
         status = end.fields["status"]
         detail = end.fields.get("detail", "answered")
         output.print_line(f"outcome: {end.name} {status}: {detail}")
+    for (service, how), number in sorted(story.others.items()):
+        output.print_line(f"other requests at {service}: {number} x {how}")
     if not story.around:
         output.print_line("around it: nothing on its targets or its host")
         return
