End the stand-in service's waiting answers before its loop ends

Cause: the demo printed `500 GET /v1/kv/...` lines at its stop, since the loop ended while requests were held open; and a 404 for the base, which is not published there. Ruled out: a fault of the daemons, which were ended before.

Before: four lines with 500, and 404 lines.

--- a/packages/daemon/tests/standins/demo.py
+++ b/packages/daemon/tests/standins/demo.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import sys
 import time
@@ -34,6 +35,8 @@
 
 
 async def _demo() -> int:
+    # The stand-in's 404 for a base that is not published is no news.
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
     started = time.monotonic()
     shape = fleet_lib.Shape()
     async with fleet_lib.running(shape) as fleet:
--- a/packages/daemon/tests/standins/fleet.py
+++ b/packages/daemon/tests/standins/fleet.py
@@ -247,7 +247,6 @@
         for target in self._targets:
             target.kill()
             target.wait()
-        self.service.close()
 
     async def _until_daemon_ready(self, daemon: Daemon, until: float) -> None:
         while time.monotonic() < until:
@@ -359,6 +358,7 @@
             yield fleet
         finally:
             fleet.close()
+            await fleet.service.close()
 
 
 def _prepare(shape: Shape, folder: pathlib.Path) -> Fleet:
--- a/packages/daemon/tests/standins/service.py
+++ b/packages/daemon/tests/standins/service.py
@@ -35,6 +35,7 @@
     frozen: tuple[int, list[dict[str, Any]]] | None = None
     calls: int = 0
     _server: httpserver.HTTPServer | None = None
+    _closing: bool = False
 
     def listen(self, port: int) -> None:
         """Serves on a loopback port."""
@@ -45,10 +46,12 @@
         self._server = httpserver.HTTPServer(web.Application(routes))
         self._server.listen(port, "127.0.0.1")
 
-    def close(self) -> None:
-        """Stops listening."""
+    async def close(self) -> None:
+        """Stops listening and answers those that wait."""
+        self._closing = True
         if self._server is not None:
             self._server.stop()
+        await asyncio.sleep(2 * _POLL_S)
 
     async def publish(self, note: api.Note) -> ledger.NoteRecord:
         """Publishes a note under its number and digest."""
@@ -85,6 +88,8 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         while self.index <= index and not self.frozen and loop.time() < until:
+            if self._closing:
+                return
             await asyncio.sleep(_POLL_S)
 
 
