--- a/packages/ctl/src/cassiactl/request_story.py
+++ b/packages/ctl/src/cassiactl/request_story.py
@@ -128,13 +128,13 @@
     for raw in text.splitlines():
         try:
             fields = json.loads(raw)
-            at, name = fields.pop("at"), fields.pop("name")
+            at, name = float(fields.pop("at")), str(fields.pop("name"))
         except (ValueError, KeyError, AttributeError, TypeError):
             unusable += 1
             continue
         fields.pop("event", None)
         fields.pop("level", None)
-        lines.append(Line(float(at), source, str(name), fields))
+        lines.append(Line(at, source, name, fields))
     return lines, unusable
 
 
