--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	PYTHONPATH=packages/daemon/tests $(PYTHON) benchmarks/overload.py
 	$(PYTHON) benchmarks/slopes.py
 	$(PYTHON) benchmarks/gateway_slopes.py
+	PYTHONPATH=packages/daemon/tests:platform/tests $(PYTHON) benchmarks/search_cost.py
 
 refusals: install
 	PYTHONPATH=packages/decisions/tests $(PYTHON) benchmarks/refusals.py
