--- a/benchmarks/search_cost.py
+++ b/benchmarks/search_cost.py
@@ -43,12 +43,8 @@
     store.start()
     fleet = platform_fleet.Fleet(store)
     shards = [f"shard{n}" for n in range(_SHARDS)]
-    configuration = platform_fleet.configuration()
-    configuration["routes"][0]["fanoutServices"] = shards
-    configuration["services"] += [
-        {"name": name, "maxConnections": 40} for name in shards[4:]
-    ]
-    await store.put("op/config", configuration)
+    configuration = platform_fleet.configuration(shard_count=_SHARDS)
+    await fleet.publish(configuration)
     for shard in shards:
         await fleet.add_searchers(shard, _REPLICAS)
     settings = fleet.new_settings()
