Sample the requests of an account that goes on above its rate

And Retry-After named the next token, which the request would most likely not get.

Ruled out: a request id does not tell a return (each attempt has its own).

Now a request's place in the sample is drawn from the digest of what it asks and a number of ten seconds, so all hosts refuse nearly the same requests, also when they come again; a request left out is told when the sample is drawn anew.

--- a/packages/decisions/src/cassiahead_decisions/fleet_quota.py
+++ b/packages/decisions/src/cassiahead_decisions/fleet_quota.py
@@ -5,6 +5,8 @@
 counts arrive. Between two reports it goes on at the peer's last known rate, so
 that a report which is late, or a peer that is cut off, is allowed for.
 
+An account that goes on above its rate is sampled (see ``sampling``).
+
 Load pattern: one account sends several times its rate through all hosts at
 once, while some hosts are cut off from the others or were just restarted.
 """
@@ -16,6 +18,8 @@
 
 import attrs
 
+from cassiahead_decisions import sampling
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -36,6 +40,8 @@
 # admitted before the cut, and may use more than that leaves.
 _ISOLATED_USE = 0.7
 
+_FIRST_PLACE = sampling.Place(0.0, 0.0)
+
 
 @attrs.frozen
 class Limit:
@@ -85,6 +91,7 @@
     own_rate: float = 0.0
     own_rate_at: float = 0.0
     peers: dict[str, _PeerUse] = attrs.field(factory=dict)
+    sample: sampling.Sample = attrs.field(factory=sampling.Sample)
 
     def refill(self, now: float) -> None:
         """Adds what has accrued, less what peers are expected to admit."""
@@ -102,6 +109,10 @@
             self.own_tokens + share * self.limit.rate_per_s * elapsed,
         )
 
+    def fill(self) -> float:
+        """Returns the tokens as a part of the burst."""
+        return self.tokens / self.limit.burst
+
     def share(self) -> float:
         """Returns this process's share of what the fleet admits."""
         if not self.peers:
@@ -149,7 +160,13 @@
             if name not in self._buckets:
                 self._buckets[name] = _new_bucket(limit, now)
 
-    def admit(self, account: str, now: float, isolated: bool) -> bool:
+    def admit(
+        self,
+        account: str,
+        now: float,
+        isolated: bool,
+        place: sampling.Place = _FIRST_PLACE,
+    ) -> bool:
         """Admits one request of an account, or refuses it.
 
         Args:
@@ -157,23 +174,49 @@
             now: Time on this process's clock.
             isolated: Whether this process hears at most half of the fleet;
                 it then keeps to its own share.
+            place: The request's place in the account's sample; by default
+                no sample leaves it out.
         """
         bucket = self._buckets.get(account)
         if bucket is None:
             return True
         bucket.refill(now)
+        if not bucket.sample.takes(place, bucket.fill(), now):
+            return False
         if bucket.tokens < 1:
+            bucket.sample.run_out()
             return False
         if isolated and bucket.own_tokens < 1:
             return False
         bucket.take(now)
         return True
 
-    def retry_after(self, account: str, now: float) -> float:
-        """Returns the seconds until the account has a token again."""
+    def leaves_out(
+        self, account: str, now: float, place: sampling.Place
+    ) -> bool:
+        """Returns whether the account's sample leaves a request out."""
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            return False
+        bucket.refill(now)
+        return not bucket.sample.takes(place, bucket.fill(), now)
+
+    def retry_after(
+        self,
+        account: str,
+        now: float,
+        place: sampling.Place = _FIRST_PLACE,
+    ) -> float:
+        """Returns the seconds until a request that was refused may run.
+
+        That is when the account has a token again; for a request that the
+        sample leaves out, when the sample is drawn anew.
+        """
         bucket = self._buckets.get(account)
         if bucket is None:
             return 0.0
+        if self.leaves_out(account, now, place):
+            return place.redrawn_in_s
         bucket.refill(now)
         missing = max(0.0, 1 - bucket.tokens)
         return missing / bucket.limit.rate_per_s
--- /dev/null
+++ b/packages/decisions/src/cassiahead_decisions/sampling.py
@@ -0,0 +1,99 @@
+"""Which requests of an account that is far over its rate are admitted.
+
+A refused caller comes back, and takes the token of another caller that then
+comes back in its turn: many are served late and few at once. So requests are
+sampled by what they ask. All hosts refuse the same ones, also when they are
+sent again, and the tokens go to callers that were never refused.
+
+Load pattern: one account offers several times its rate for seconds, and each
+refused caller tries again once.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+__all__ = ["EPOCH_S", "Place", "Sample"]
+
+# A sample is drawn anew so often, so that no request is refused for good; long
+# against the time after which callers come back.
+EPOCH_S = 10.0
+# Hexadecimal digits of a fingerprint that decide the place.
+_DIGITS = 8
+# By how much a place moves from one draw to the next: the golden ratio, by
+# which consecutive draws overlap least.
+_SHIFT = (math.sqrt(5) - 1) / 2
+# Part of the burst at which the tokens are kept: requests that come together
+# find some.
+_KEPT = 0.4
+# Part of the burst from which on no request is refused for its place.
+_PLENTY = 0.8
+# How fast the admitted share follows the tokens, per second.
+_GAIN = 0.5
+# Share from which a sample begins, and the least one.
+_FIRST_SHARE = 0.5
+_LEAST_SHARE = 0.02
+# Longest time between two requests for which the share is moved.
+_LONGEST_STEP_S = 0.5
+
+
+@attrs.frozen
+class Place:
+    """A request's place in the samples of its account.
+
+    Attributes:
+        value: From 0 to 1; the same at all hosts and each time it is sent.
+        redrawn_in_s: Seconds until the place is drawn anew.
+    """
+
+    value: float
+    redrawn_in_s: float
+
+    @classmethod
+    def draw(cls, fingerprint: str, wall_s: float) -> Place:
+        """Draws a request's place.
+
+        Args:
+            fingerprint: Hexadecimal digest of what the request asks.
+            wall_s: Seconds since 1970; hosts whose clocks differ disagree only
+                around the moment of a new draw.
+        """
+        number, elapsed = divmod(wall_s, EPOCH_S)
+        drawn = int(fingerprint[:_DIGITS], 16) / 16**_DIGITS
+        return cls((drawn + _SHIFT * number) % 1.0, EPOCH_S - elapsed)
+
+
+@attrs.define
+class Sample:
+    """The share of one account's requests that is admitted.
+
+    Attributes:
+        share: Requests whose place is below it are in the sample.
+    """
+
+    share: float = 1.0
+    _moved_at: float = 0.0
+
+    def takes(self, place: Place, fill: float, now: float) -> bool:
+        """Returns whether a request is in the sample.
+
+        Args:
+            place: The request's place.
+            fill: Tokens as a part of the burst.
+            now: Time on this process's clock.
+        """
+        self._follow(fill, now)
+        return place.value < self.share or fill >= _PLENTY
+
+    def run_out(self) -> None:
+        """Begins to sample: a request found no token."""
+        if self.share == 1.0:
+            self.share = _FIRST_SHARE
+
+    def _follow(self, fill: float, now: float) -> None:
+        step = min(_LONGEST_STEP_S, now - self._moved_at)
+        self._moved_at = now
+        moved = self.share * math.exp(_GAIN * (fill - _KEPT) * step)
+        self.share = min(1.0, max(_LEAST_SHARE, moved))
--- a/packages/gateway/src/cassiahead_gateway/gateway.py
+++ b/packages/gateway/src/cassiahead_gateway/gateway.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cassiahead_decisions import poison as poison_lib
+from cassiahead_decisions import sampling
 from cassiahead_gateway import api
 from cassiahead_gateway import attempts
 from cassiahead_gateway import context as context_lib
@@ -37,6 +38,7 @@
     route: api.Route
     account: api.Account | None
     version: int
+    fingerprint: str
 
 
 @attrs.define(eq=False)
@@ -114,21 +116,26 @@
             raise errors.RequestError(
                 errors.Code.BODY_TOO_LARGE, f"more than {limit} bytes"
             )
+        fingerprint = _fingerprint(request, account)
         if account is not None:
-            self._charge(account)
-        return _Admitted(route, account, router.configuration.version)
+            self._charge(account, fingerprint)
+        return _Admitted(
+            route, account, router.configuration.version, fingerprint
+        )
 
-    def _charge(self, account: api.Account) -> None:
+    def _charge(self, account: api.Account, fingerprint: str) -> None:
         now = clock.now()
         context = self._context
         isolated = context.peers.isolated(now)
-        if context.quota.admit(account.name, now, isolated):
+        place = sampling.Place.draw(fingerprint, clock.wall())
+        if context.quota.admit(account.name, now, isolated, place):
             return
-        wait = context.quota.retry_after(account.name, now)
+        left_out = context.quota.leaves_out(account.name, now, place)
+        wait = context.quota.retry_after(account.name, now, place)
         raise errors.RequestError(
             errors.Code.OVER_QUOTA,
             f"{account.name} has used its {account.rate_per_s}/s over all "
-            f"hosts (isolated: {isolated})",
+            f"hosts (isolated: {isolated}, left out of sample: {left_out})",
             max(_LEAST_RETRY_AFTER_S, wait),
         )
 
@@ -192,11 +199,7 @@
             headers,
             request.body,
             request.received_at + allowed,
-            poison_lib.fingerprint(
-                admitted.account.name if admitted.account else "",
-                f"{request.headers.get('Host', '')}{request.path}",
-                request.body.decode("latin-1"),
-            ),
+            admitted.fingerprint,
         )
 
     def _refusal(
@@ -319,6 +322,16 @@
         return math.inf
 
 
+def _fingerprint(
+    request: http_server.Request, account: api.Account | None
+) -> str:
+    return poison_lib.fingerprint(
+        account.name if account else "",
+        f"{request.headers.get('Host', '')}{request.path}",
+        request.body.decode("latin-1"),
+    )
+
+
 def _homes(route: api.Route, account: api.Account | None) -> tuple[str, ...]:
     """Returns the regions whose targets may run a request; empty for all."""
     if account is None or not account.homes:
