--- a/packages/gateway/src/cassiahead_gateway/search.py
+++ b/packages/gateway/src/cassiahead_gateway/search.py
@@ -104,7 +104,7 @@
             errors.RequestError: If too few shards answered in time.
         """
         dark = self._dark_shards()
-        await self._until_room(dark)
+        await self._until_room()
         self._calls = [
             service_call.ServiceCall(
                 shard,
@@ -159,7 +159,7 @@
             _NO_TARGET_RETRY_AFTER_S,
         )
 
-    async def _until_room(self, dark: frozenset[str]) -> None:
+    async def _until_room(self) -> None:
         """Waits until as many shards as an answer needs have room for it.
 
         What is begun without would take places of searches that can still be
@@ -169,9 +169,11 @@
             errors.RequestError: If there is none while a refusal is early.
         """
         patience = _SINGLE_PATIENCE * self._route.target_latency_s
-        while not self._has_room(dark):
+        shards = self._scatter.shards
+        while len(full := self._full_shards()) > len(shards) - self._least:
             if clock.now() - self._received_at >= patience:
-                self.trace.parts = len(self._scatter.shards)
+                self.trace.parts = len(shards)
+                self.trace.missing = full
                 raise errors.RequestError(
                     errors.Code.SHED,
                     "too few shards have room for another search",
@@ -179,13 +181,13 @@
                 )
             await asyncio.sleep(_LOOK_AGAIN_S)
 
-    def _has_room(self, dark: frozenset[str]) -> bool:
-        able = sum(
-            1
+    def _full_shards(self) -> list[str]:
+        """Returns the shards without a live target that has room."""
+        return [
+            shard
             for shard in self._scatter.shards
-            if shard not in dark and self._context.has_room(shard, self._homes)
-        )
-        return able >= self._least
+            if not self._context.has_room(shard, self._homes)
+        ]
 
     def _set_timers(self) -> None:
         now = clock.now()
