Refuse notes whose values have the wrong JSON type

strict_converter converted '5' to 5, 1 to '1' and 2 to True: found by a new test of settings files that expects a place for each wrong type. Cause: its hooks were registered by predicate, and cattrs looks at hooks by class first, where its own converting ones for the basic types stand. They are hooks by class now; the one for strings also makes enumerations of strings.

--- a/packages/notes/src/cassiahead_notes/codec.py
+++ b/packages/notes/src/cassiahead_notes/codec.py
@@ -5,7 +5,6 @@
 import functools
 import hashlib
 import json
-import operator
 import re
 from typing import Any
 from typing import TypeVar
@@ -32,16 +31,10 @@
 def strict_converter() -> cattrs.Converter:
     """Returns a converter that refuses unknown keys and wrong JSON types."""
     converter = cattrs.Converter(forbid_extra_keys=True)
-    for shape, structure in (
-        (int, _structure_int),
-        (float, _structure_float),
-        (bool, _structure_bool),
-        (str, _structure_str),
-    ):
-        # A hook by class would serve its subclasses too, enums among them.
-        converter.register_structure_hook_func(
-            functools.partial(operator.is_, shape), structure
-        )
+    converter.register_structure_hook(int, _structure_int)
+    converter.register_structure_hook(float, _structure_float)
+    converter.register_structure_hook(bool, _structure_bool)
+    converter.register_structure_hook(str, _structure_str)
     return converter
 
 
@@ -144,7 +137,8 @@
     return value
 
 
-def _structure_str(value: Any, _: type) -> str:  # noqa: ANN401
+def _structure_str(value: Any, shape: type) -> str:  # noqa: ANN401
     if not isinstance(value, str):
         raise TypeError(f"expected a string, got {value!r}")
-    return value
+    # This hook serves the enumerations of strings too.
+    return value if shape is str else shape(value)
