Read the settings files of both programs in one place

Gateway and daemon each had the reading, the structuring and the checks of addresses and log levels; the gateway's converter was not strict, so a number in quotes was taken.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := wire telemetry notes protocol decisions daemon gateway ctl
+PACKAGES := wire telemetry notes settings protocol decisions daemon gateway ctl
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 
 # Test files that run at once: each may start a dozen processes.
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,7 +7,7 @@
   python3 -m pip install -q -U --target "$deps" -r deploy/requirements.txt
   touch "$deps/.installed"
 fi
-for package in wire telemetry notes protocol decisions gateway; do
+for package in wire telemetry notes settings protocol decisions gateway; do
   rm -rf "$deps/cassiahead_$package"
   cp -R "packages/$package/src/cassiahead_$package" "$deps/"
 done
--- a/packages/daemon/src/cassiahead_daemon/settings.py
+++ b/packages/daemon/src/cassiahead_daemon/settings.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import enum
-import json
 from typing import TYPE_CHECKING
 
 import attrs
 
-from cassiahead_notes import codec
-from cassiahead_wire import addresses
+from cassiahead_settings import files
+from cassiahead_settings.files import SettingsError
 
 if TYPE_CHECKING:
     import pathlib
@@ -17,12 +16,6 @@
 __all__ = ["Role", "Settings", "SettingsError", "load"]
 
 
-class SettingsError(Exception):
-    """Settings that cannot be used; the text is one line for the operator."""
-
-    code = "CS01"
-
-
 class Role(enum.StrEnum):
     """What a daemon does."""
 
@@ -71,44 +64,23 @@
     Raises:
         SettingsError: With the file and the JSON path of the first fault.
     """
-    try:
-        plain = json.loads(path.read_text())
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
-    except ValueError as error:
-        raise SettingsError(f"{path}: $: not JSON: {error}") from error
-    try:
-        settings = codec.strict_converter().structure(plain, Settings)
-    except Exception as error:
-        place, detail = codec.first_fault(error)
-        raise SettingsError(f"{path}: {place}: {detail}") from error
-    for place, detail in _faults(settings):
-        raise SettingsError(f"{path}: {place}: {detail}")
-    return settings
-
-
-def _faults(settings: Settings) -> list[tuple[str, str]]:
-    faults = []
-    for name in ("inner", "operators", "platform", "callers"):
-        address = getattr(settings, name)
-        if address is None:
-            continue
-        try:
-            addresses.split_address(address)
-        except ValueError:
-            faults.append(
-                (f"$.{name}", f"{address!r} is no IP number with a port")
-            )
+    return files.load(path, Settings, _faults)
+
+
+def _faults(settings: Settings) -> list[files.Fault]:
+    faults = files.address_faults(
+        settings, ("inner", "operators", "platform", "callers")
+    )
     if settings.role is Role.ENTRY and settings.callers is None:
-        faults.append(("$.callers", "an entry needs an address for callers"))
+        faults.append(
+            files.Fault("$.callers", "an entry needs an address for callers")
+        )
     if settings.role is Role.RELAY and settings.callers is not None:
-        faults.append(("$.callers", "a relay serves no callers"))
+        faults.append(files.Fault("$.callers", "a relay serves no callers"))
     for name in ("max_body_bytes", "max_header_bytes"):
         if getattr(settings, name) < 1:
-            faults.append((f"$.{name}", "must be positive"))
+            faults.append(files.Fault(f"$.{name}", "must be positive"))
     for name in ("balancer_wait_s", "drain_limit_s"):
         if getattr(settings, name) < 0:
-            faults.append((f"$.{name}", "must not be negative"))
-    if settings.log_level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
-        faults.append(("$.log_level", "must be DEBUG, INFO, WARNING or ERROR"))
-    return faults
+            faults.append(files.Fault(f"$.{name}", "must not be negative"))
+    return faults + files.level_faults(settings.log_level)
--- a/packages/gateway/src/cassiahead_gateway/settings.py
+++ b/packages/gateway/src/cassiahead_gateway/settings.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
 import attrs
-import cattrs
-from cattrs import transform_error
 
 from cassiahead_gateway import headers as headers_lib
-from cassiahead_wire import addresses
+from cassiahead_settings import files
+from cassiahead_settings.files import SettingsError
 
 if TYPE_CHECKING:
     import pathlib
@@ -25,12 +23,6 @@
 ]
 
 
-class SettingsError(Exception):
-    """Settings that cannot be used; the text is one line for the operator."""
-
-    code = "CS01"
-
-
 @attrs.frozen
 class RetryBound:
     """Extra requests that a service may get from all hosts together.
@@ -114,42 +106,14 @@
     Raises:
         SettingsError: With the file and the JSON path of the first fault.
     """
-    try:
-        plain = json.loads(path.read_text())
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
-    except ValueError as error:
-        raise SettingsError(f"{path}: $: not JSON: {error}") from error
-    try:
-        settings = _converter().structure(plain, Settings)
-    except Exception as error:
-        fault = transform_error(error)[0]
-        raise SettingsError(f"{path}: {fault}") from error
-    for fault in _faults(settings):
-        raise SettingsError(f"{path}: {fault}")
-    return settings
-
-
-def _converter() -> cattrs.Converter:
-    return cattrs.Converter(forbid_extra_keys=True)
-
-
-def _faults(settings: Settings) -> list[str]:
-    faults = []
-    for name in (
-        "callers",
-        "readiness",
-        "peers",
-        "metrics",
-        "configuration_service",
-    ):
-        address = getattr(settings, name)
-        try:
-            addresses.split_address(address)
-        except ValueError:
-            faults.append(f"$.{name}: {address!r} is no IP number with a port")
+    return files.load(path, Settings, _faults)
+
+
+def _faults(settings: Settings) -> list[files.Fault]:
+    faults = files.address_faults(
+        settings,
+        ("callers", "readiness", "peers", "metrics", "configuration_service"),
+    )
     if settings.grace_s <= 0:
-        faults.append("$.grace_s: must be positive")
-    if settings.log_level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
-        faults.append("$.log_level: must be DEBUG, INFO, WARNING or ERROR")
-    return faults
+        faults.append(files.Fault("$.grace_s", "must be positive"))
+    return faults + files.level_faults(settings.log_level)
--- /dev/null
+++ b/packages/settings/src/cassiahead_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files of the programs."""
