Keep one copy of background tasks and of the metrics' reader

Gateway and daemon each had the code that spawns their tasks, logs the error of one that ends and stops the process, and the code that sets OpenTelemetry up for Prometheus.

--- a/packages/daemon/src/cassiahead_daemon/application.py
+++ b/packages/daemon/src/cassiahead_daemon/application.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-from typing import TYPE_CHECKING
 from typing import Any
 
 import attrs
@@ -19,13 +18,11 @@
 from cassiahead_daemon import platform
 from cassiahead_daemon import relay as relay_lib
 from cassiahead_daemon import settings as settings_lib
+from cassiahead_telemetry import background
 from cassiahead_telemetry import events
 from cassiahead_wire import addresses
 from cassiahead_wire import clock
 
-if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
 __all__ = ["Application"]
 
 _INNER_BODY_BYTES = 8 * 1024 * 1024
@@ -43,8 +40,13 @@
     _entry: entry_lib.Entry | None
     _relay: relay_lib.Relay | None
     _servers: dict[str, httpserver.HTTPServer] = attrs.field(factory=dict)
-    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     _stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _background: background.BackgroundTasks = attrs.field(
+        default=attrs.Factory(
+            lambda self: background.BackgroundTasks(self._stopping),
+            takes_self=True,
+        )
+    )
 
     @classmethod
     def from_settings(cls, settings: settings_lib.Settings) -> Application:
@@ -96,13 +98,13 @@
                 self._settings.callers,
                 self._settings.max_body_bytes,
             )
-        self._spawn(self._reader.watch_notes())
-        self._spawn(self._reader.watch_hosts())
-        self._spawn(self._exchanger.run())
+        self._background.spawn(self._reader.watch_notes())
+        self._background.spawn(self._reader.watch_hosts())
+        self._background.spawn(self._exchanger.run())
         if self._entry is not None:
-            self._spawn(self._entry.keep_house())
+            self._background.spawn(self._entry.keep_house())
         if self._relay is not None:
-            self._spawn(self._relay.keep_house())
+            self._background.spawn(self._relay.keep_house())
         events.log(
             events.Event.STARTED,
             role=self._settings.role.value,
@@ -126,9 +128,7 @@
         """Closes everything."""
         for server in self._servers.values():
             server.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.cancel()
         for server in self._servers.values():
             await server.close_all_connections()
         if self._relay is not None:
@@ -154,14 +154,3 @@
         )
         server.listen(port, host)
         self._servers[name] = server
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(self._on_task_done)
-        self._tasks.append(task)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        events.log(events.Event.INTERNAL_ERROR, exc_info=task.exception())
-        self._stopping.set()
--- a/packages/daemon/src/cassiahead_daemon/operator_handlers.py
+++ b/packages/daemon/src/cassiahead_daemon/operator_handlers.py
@@ -11,6 +11,7 @@
 
 from cassiahead_daemon import handlers
 from cassiahead_notes import codec as notes_codec
+from cassiahead_telemetry import exposition
 from cassiahead_wire import clock
 
 if TYPE_CHECKING:
@@ -67,7 +68,7 @@
     async def get(self) -> None:
         """Writes the text format."""
         self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.write(self._node.telemetry.metrics.exposition())
+        self.write(exposition.prometheus_text())
 
 
 class InForceHandler(_NodeHandler):
--- a/packages/daemon/src/cassiahead_daemon/telemetry.py
+++ b/packages/daemon/src/cassiahead_daemon/telemetry.py
@@ -7,12 +7,10 @@
 from typing import Any
 
 import attrs
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.sdk.metrics import MeterProvider
-import prometheus_client
 
 from cassiahead_daemon import errors
 from cassiahead_telemetry import events
+from cassiahead_telemetry import exposition
 
 __all__ = ["DecisionLog", "Metrics", "Telemetry"]
 
@@ -45,10 +43,7 @@
 
     def __init__(self) -> None:
         """Creates the instruments."""
-        self._provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()], shutdown_on_exit=False
-        )
-        meter = self._provider.get_meter("cassiahead")
+        meter = exposition.new_meter()
         self.requests = meter.create_counter(
             "cassiahead_requests", description="Requests of callers by result"
         )
@@ -79,11 +74,6 @@
             "cassiahead_exchanges", description="Exchanges with peers"
         )
 
-    @staticmethod
-    def exposition() -> bytes:
-        """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest()
-
 
 @attrs.define
 class Telemetry:
--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -17,14 +17,13 @@
 from cassiahead_gateway import http_server
 from cassiahead_gateway import reader as reader_lib
 from cassiahead_gateway import settings as settings_lib
+from cassiahead_telemetry import background
 from cassiahead_telemetry import events
+from cassiahead_telemetry import exposition
 from cassiahead_telemetry import stream
 from cassiahead_wire import clock
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-    from typing import Any
-
     from cassiahead_gateway import published
     from cassiahead_gateway import source as source_lib
 
@@ -58,8 +57,13 @@
     _reader: reader_lib.Reader
     _callers: http_server.HttpServer
     _servers: list[http_server.HttpServer]
-    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     _stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _background: background.BackgroundTasks = attrs.field(
+        default=attrs.Factory(
+            lambda self: background.BackgroundTasks(self._stopping),
+            takes_self=True,
+        )
+    )
     _was_ready: bool = False
 
     @classmethod
@@ -137,10 +141,10 @@
         for server in [self._callers, *self._servers]:
             server.listen()
         self._exchange.seed()
-        self._spawn(self._exchange.run())
-        self._spawn(self._reader.run())
-        self._spawn(self._keep_house())
-        self._spawn(self._flush_logs())
+        self._background.spawn(self._exchange.run())
+        self._background.spawn(self._reader.run())
+        self._background.spawn(self._keep_house())
+        self._background.spawn(self._flush_logs())
         events.log(
             events.Event.STARTED,
             process=self._context.process,
@@ -187,9 +191,7 @@
     async def stop(self) -> None:
         """Closes everything."""
         events.log(events.Event.STOPPED, in_flight=self._gateway.in_flight)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.cancel()
         self._exchange.close()
         self._reader.close()
         for server in [self._callers, *self._servers]:
@@ -211,7 +213,7 @@
         """Answers whoever collects metrics."""
         if request.path.partition("?")[0] != "/metrics":
             return http_server.plain_reply(404)
-        return http_server.plain_reply(200, self._context.metrics.exposition())
+        return http_server.plain_reply(200, exposition.prometheus_text())
 
     async def _keep_house(self) -> None:
         ticked_at = clock.now()
@@ -252,14 +254,3 @@
         while True:
             await asyncio.sleep(_FLUSH_S)
             self._log_stream.flush()
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(self._on_task_done)
-        self._tasks.append(task)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        events.log(events.Event.INTERNAL_ERROR, exc_info=task.exception())
-        self._stopping.set()
--- a/packages/gateway/src/cassiahead_gateway/metrics.py
+++ b/packages/gateway/src/cassiahead_gateway/metrics.py
@@ -7,9 +7,8 @@
 
 import attrs
 from opentelemetry import metrics as metrics_api
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.sdk.metrics import MeterProvider
-import prometheus_client
+
+from cassiahead_telemetry import exposition
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -50,10 +49,7 @@
 
     def __init__(self) -> None:
         """Creates the instruments."""
-        self._provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()], shutdown_on_exit=False
-        )
-        meter = self._provider.get_meter("cassiahead")
+        meter = exposition.new_meter()
         self.requests = meter.create_counter(
             "cassiahead_requests",
             description="Requests of callers by route and result",
@@ -91,8 +87,3 @@
             meter.create_observable_counter(
                 name, [tally.observe], description=description
             )
-
-    @staticmethod
-    def exposition() -> bytes:
-        """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest()
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -5,6 +5,7 @@
 import re
 
 from cassiahead_gateway import metrics as metrics_lib
+from cassiahead_telemetry import exposition
 
 
 def _value(text: str, name: str, label: str) -> float:
@@ -26,7 +27,7 @@
     metrics.reads.add("refused")
     metrics.requests.add(1, {"route": "board", "result": "200"})
     metrics.latency.record(0.05, {"route": "board"})
-    text = metrics.exposition().decode()
+    text = exposition.prometheus_text().decode()
     attempts = "cassiahead_attempts_total"
     assert _value(text, attempts, 'cause="first"') == 2
     assert _value(text, attempts, 'cause="hedge"') == 1
