Take a first share out of the sample that was never taken

A new test of the whole path asked for requests left out at once after an account's burst and found none: Sample.run_out set the share to one half only if it was exactly 1, and following the tokens had already made it a little less.

--- /dev/null
+++ b/packages/daemon/tests/unit/test_exchanger.py
@@ -0,0 +1,78 @@
+"""Exchanges follow the homes, and readiness follows the exchanges."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cassiahead_daemon import exchanger as exchanger_lib
+from cassiahead_daemon import node as node_lib
+from cassiahead_daemon import settings as settings_lib
+from cassiahead_decisions import exchange_pace
+from cassiahead_protocol import api
+from cassiahead_protocol import codec
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def _node() -> node_lib.Node:
+    settings = settings_lib.Settings(
+        role=settings_lib.Role.ENTRY,
+        failure_domain="d",
+        inner="127.0.0.1:1",
+        operators="127.0.0.1:2",
+        callers="127.0.0.1:3",
+        platform="127.0.0.1:4",
+    )
+    return node_lib.Node.from_settings(settings)
+
+
+def _message(ready: bool) -> bytes:
+    """Returns what a peer says that does not answer itself."""
+    peer = api.Process("127.0.0.1:9", "entry", "d", 1)
+    return codec.encode(
+        api.Exchange(peer, 1, 0, "", freshness_age=0.0, ready=ready)
+    )
+
+
+def test_a_peer_that_becomes_ready_brings_the_next_exchange_forward(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(exchange_pace, "INTERVAL_S", 1000.0)
+
+    async def main() -> None:
+        exchanger = exchanger_lib.Exchanger(_node())
+
+        def sequence(ready: bool) -> int:
+            reply = exchanger.answer(_message(ready))
+            return codec.decode(reply, api.Exchange).sequence
+
+        running = asyncio.ensure_future(exchanger.run())
+        # The exchanges after the start, until the homes have come to rest.
+        await asyncio.sleep(4 * exchange_pace.AFTER_CHANGE_S)
+        before = sequence(ready=False)
+        await asyncio.sleep(4 * exchange_pace.AFTER_CHANGE_S)
+        assert sequence(ready=True) == before
+        async with asyncio.timeout(20):
+            while sequence(ready=True) == before:
+                await asyncio.sleep(0.01)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    asyncio.run(main())
+
+
+def test_a_daemon_is_ready_once_its_peers_were_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(node_lib.Node, "obstacle", lambda self: None)
+
+    async def main() -> None:
+        node = _node()
+        assert node.unready_reason() == "joining"
+        assert node.refusal_reason() is None
+        exchanger_lib.Exchanger(node).tick()
+        assert node.unready_reason() is None
+
+    asyncio.run(main())
--- a/packages/decisions/src/cassiahead_decisions/fleet_quota.py
+++ b/packages/decisions/src/cassiahead_decisions/fleet_quota.py
@@ -184,7 +184,6 @@
         if not bucket.sample.takes(place, bucket.fill(), now):
             return False
         if bucket.tokens < 1:
-            bucket.sample.run_out()
             return False
         if isolated and bucket.own_tokens < 1:
             return False
--- a/packages/decisions/src/cassiahead_decisions/sampling.py
+++ b/packages/decisions/src/cassiahead_decisions/sampling.py
@@ -32,8 +32,7 @@
 _PLENTY = 0.8
 # How fast the admitted share follows the tokens, per second.
 _GAIN = 0.5
-# Share from which a sample begins, and the least one.
-_FIRST_SHARE = 0.5
+# So that the share grows again within seconds.
 _LEAST_SHARE = 0.02
 # Longest time between two requests for which the share is moved.
 _LONGEST_STEP_S = 0.5
@@ -87,11 +86,6 @@
         self._follow(fill, now)
         return place.value < self.share or fill >= _PLENTY
 
-    def run_out(self) -> None:
-        """Begins to sample: a request found no token."""
-        if self.share == 1.0:
-            self.share = _FIRST_SHARE
-
     def _follow(self, fill: float, now: float) -> None:
         step = min(_LONGEST_STEP_S, now - self._moved_at)
         self._moved_at = now
