--- a/packages/decisions/src/cassiahead_decisions/fleet_quota.py
+++ b/packages/decisions/src/cassiahead_decisions/fleet_quota.py
@@ -40,6 +40,8 @@
 # admitted before the cut, and may use more than that leaves.
 _ISOLATED_USE = 0.7
 
+# A bucket that holds less than one token admits nothing, whatever its rate.
+_LEAST_BURST = 1.0
 _FIRST_PLACE = sampling.Place(0.0, 0.0)
 
 
@@ -146,7 +148,11 @@
 
     def set_limits(self, limits: Mapping[str, Limit], now: float) -> None:
         """Takes over the limits in force; a smaller burst binds at once."""
-        self._limits = {n: v for n, v in limits.items() if v.rate_per_s > 0}
+        self._limits = {
+            name: Limit(limit.rate_per_s, max(_LEAST_BURST, limit.burst))
+            for name, limit in limits.items()
+            if limit.rate_per_s > 0
+        }
         for name in list(self._buckets):
             limit = self._limits.get(name)
             if limit is None:
--- a/packages/decisions/tests/test_fleet_quota.py
+++ b/packages/decisions/tests/test_fleet_quota.py
@@ -136,6 +136,13 @@
     assert admitted <= 2
 
 
+def test_an_account_without_a_burst_gets_its_rate() -> None:
+    quota = fleet_quota.FleetQuota()
+    quota.set_limits({"a": fleet_quota.Limit(10, 0)}, 0.0)
+    admitted = sum(quota.admit("a", 0.02 * n, False) for n in range(500))
+    assert 0.9 * 100 <= admitted <= 100 + 1
+
+
 def test_a_process_that_starts_takes_over_what_its_peers_know() -> None:
     quota = fleet_quota.FleetQuota()
     quota.set_limits({"a": _LIMIT}, 0.0)
