Let the metrics test read gains, whatever ran before it in its process

Cause, reproduced each time with a test of the whole path before it in one process: all gateways of a process share the Prometheus registry, and which files run in one process is left to the order in which the workers become free. The test now compares what is served before and after, over all series of a name and label: any other growth fails it too.

--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -2,22 +2,36 @@
 
 from __future__ import annotations
 
-import re
+import collections
 
 from cassiahead_gateway import metrics as metrics_lib
 from cassiahead_telemetry import exposition
 
 
-def _value(text: str, name: str, label: str) -> float:
-    [line] = [
-        line
-        for line in text.splitlines()
-        if line.startswith(f"{name}{{") and label in line
-    ]
-    return float(re.split(r"\s+", line)[-1])
+def _values() -> dict[str, float]:
+    """Returns what is served, by name and labels.
+
+    Gateways of other tests in the same process are served beside.
+    """
+    values: dict[str, float] = collections.defaultdict(float)
+    for line in exposition.prometheus_text().decode().splitlines():
+        if not line.startswith("#"):
+            series, _, value = line.rpartition(" ")
+            values[series] += float(value)
+    return values
+
+
+def _gained(
+    before: dict[str, float], after: dict[str, float], name: str, label: str
+) -> float:
+    """Returns by how much all series of a name and label have grown."""
+    found = [s for s in after if s.startswith(f"{name}{{") and label in s]
+    assert found, name
+    return sum(after[series] - before.get(series, 0.0) for series in found)
 
 
 def test_counters_and_latencies_are_served_under_their_names() -> None:
+    before = _values()
     metrics = metrics_lib.Metrics()
     metrics.attempts.add("first")
     metrics.attempts.add("first")
@@ -27,14 +41,18 @@
     metrics.reads.add("refused")
     metrics.requests.add(1, {"route": "board", "result": "200"})
     metrics.latency.record(0.05, {"route": "board"})
-    text = exposition.prometheus_text().decode()
+    after = _values()
+
+    def gained(name: str, label: str) -> float:
+        return _gained(before, after, name, label)
+
     attempts = "cassiahead_attempts_total"
-    assert _value(text, attempts, 'cause="first"') == 2
-    assert _value(text, attempts, 'cause="hedge"') == 1
+    assert gained(attempts, 'cause="first"') == 2
+    assert gained(attempts, 'cause="hedge"') == 1
     outcomes = "cassiahead_attempt_outcomes_total"
-    assert _value(text, outcomes, 'outcome="good"') == 1
-    assert _value(text, "cassiahead_exchanges_total", 'result="ok"') == 1
-    assert _value(text, "cassiahead_reads_total", 'result="refused"') == 1
-    assert _value(text, "cassiahead_requests_total", 'result="200"') == 1
-    fast = _value(text, "cassiahead_request_seconds_bucket", 'le="0.06"')
+    assert gained(outcomes, 'outcome="good"') == 1
+    assert gained("cassiahead_exchanges_total", 'result="ok"') == 1
+    assert gained("cassiahead_reads_total", 'result="refused"') == 1
+    assert gained("cassiahead_requests_total", 'result="200"') == 1
+    fast = gained("cassiahead_request_seconds_bucket", 'le="0.06"')
     assert fast == 1
