--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	PYTHONPATH=packages/daemon/tests $(PYTHON) -m standins.demo
 
 test: install
-	$(PYTHON) -m pytest -n $(WORKERS) --dist loadfile
+	$(PYTHON) -m pytest -n $(WORKERS) --dist loadfile -rx --xfail-tb
 
 check: install
 	$(VENV)/bin/ruff format --check .
