Move the logging of request results to a module of its own

Cause: request_handler.py had 444 lines, a quarter of them about log lines and metrics, with five arguments passed to each of them. Change: RequestRecord holds what is known of a request; the handler fills it in. Result: 305 lines; tests of packages/gateway and platform pass as before.

--- a/packages/gateway/src/cassiahead_gateway/request_handler.py
+++ b/packages/gateway/src/cassiahead_gateway/request_handler.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 from typing import TYPE_CHECKING
-from typing import Any
 
 import attrs
 
@@ -18,6 +17,7 @@
 from cassiahead_gateway import gateway_state as gateway_state_lib
 from cassiahead_gateway import headers as headers_lib
 from cassiahead_gateway import http_server
+from cassiahead_gateway import request_log
 from cassiahead_gateway import scatter_gather
 from cassiahead_telemetry import events
 from cassiahead_wire import clock
@@ -31,33 +31,6 @@
 # few heartbeats.
 _NOT_READY_RETRY_AFTER_S = 0.3
 _MIN_RETRY_AFTER_S = 0.05
-_CODES_DECIDED_BY_CONFIGURATION = frozenset(
-    {
-        errors.ErrorCode.NO_ROUTE,
-        errors.ErrorCode.KEY_MISSING,
-        errors.ErrorCode.KEY_INVALID,
-    }
-)
-
-
-@attrs.define
-class _AdmittedRequest:
-    """Result of admitting a request.
-
-    Attributes:
-        route: Route of the request.
-        account: Client account of the request; None on an open route, or if the
-            configuration has no accounts.
-        configuration_version: Version of the configuration that the request was
-            checked against.
-        fingerprint: Digest of the client account, host, path and body; equal
-            for all repetitions of a request by its caller.
-    """
-
-    route: api.Route
-    account: api.Account | None
-    configuration_version: int
-    fingerprint: str
 
 
 @attrs.define(eq=False)
@@ -84,26 +57,16 @@
         self.in_flight_count += 1
         header_names = self._gateway_state.settings.headers
         request_id = request.headers.get(header_names.request_id, "")
-        admitted_request: _AdmittedRequest | None = None
-        operation: scatter_gather.ScatterGather | forwarding.Forward | None = (
-            None
+        record = request_log.RequestRecord(
+            self._gateway_state, request, request_id
         )
         try:
-            router = self._current_router()
-            admitted_request = self._admit_request(request, request_id, router)
-            operation = self._create_operation(
-                request, request_id, admitted_request
-            )
-            reply = await operation.run()
+            reply = await self._run(record)
         except errors.RequestError as error:
             reply = self._error_reply(error, request_id)
-            self._log_refused_or_failed(
-                request, request_id, admitted_request, operation, error
-            )
+            record.log_error(error)
         except asyncio.CancelledError:
-            self._log_cancelled(
-                request, request_id, admitted_request, operation
-            )
+            record.log_cancelled()
             raise
         except Exception as error:
             events.log(
@@ -118,13 +81,24 @@
                 request_id,
             )
         else:
-            self._log_answered(
-                request, request_id, admitted_request, operation, reply
-            )
+            record.log_answer(reply)
         finally:
             self.in_flight_count -= 1
         return reply
 
+    async def _run(
+        self, record: request_log.RequestRecord
+    ) -> http_server.Reply:
+        """Admits a request and sends it to targets; fills in its record."""
+        router = self._current_router()
+        record.admitted_request = self._admit_request(
+            record.request, record.request_id, router
+        )
+        record.operation = self._create_operation(
+            record.request, record.request_id, record.admitted_request
+        )
+        return await record.operation.run()
+
     def _current_router(self) -> routing.Router:
         router = self._gateway_state.catalogue.router
         if router is None:
@@ -140,7 +114,7 @@
         request: http_server.Request,
         request_id: str,
         router: routing.Router,
-    ) -> _AdmittedRequest:
+    ) -> request_log.AdmittedRequest:
         header_names = self._gateway_state.settings.headers
         if not request_id:
             raise errors.RequestError(
@@ -160,7 +134,7 @@
         fingerprint = _fingerprint(request, account)
         if account is not None:
             self._charge_quota(account, fingerprint)
-        return _AdmittedRequest(
+        return request_log.AdmittedRequest(
             route, account, router.configuration.version, fingerprint
         )
 
@@ -193,7 +167,7 @@
         self,
         request: http_server.Request,
         request_id: str,
-        admitted_request: _AdmittedRequest,
+        admitted_request: request_log.AdmittedRequest,
     ) -> scatter_gather.ScatterGather | forwarding.Forward:
         route = admitted_request.route
         outgoing_request = self._outgoing_request(
@@ -233,7 +207,7 @@
         self,
         request: http_server.Request,
         request_id: str,
-        admitted_request: _AdmittedRequest,
+        admitted_request: request_log.AdmittedRequest,
     ) -> attempts.OutgoingRequest:
         header_names = self._gateway_state.settings.headers
         gateway_header_names = {
@@ -277,119 +251,6 @@
             reply.headers["Retry-After"] = f"{error.retry_after_s:.3f}"
         return reply
 
-    def _log_fields(
-        self,
-        request: http_server.Request,
-        request_id: str,
-        admitted_request: _AdmittedRequest | None,
-        operation: scatter_gather.ScatterGather | forwarding.Forward | None,
-    ) -> dict[str, Any]:
-        now = clock.monotonic()
-        catalogue = self._gateway_state.catalogue
-        fields: dict[str, Any] = {
-            "request_id": request_id,
-            "ms": round((now - request.received_at) * 1000, 1),
-            "age_s": round(catalogue.age_s(now), 2)
-            if not math.isinf(catalogue.age_s(now))
-            else None,
-            "version": admitted_request.configuration_version
-            if admitted_request
-            else catalogue.configuration_version,
-        }
-        if admitted_request is not None:
-            fields["route"] = admitted_request.route.name
-            account = admitted_request.account
-            fields["account"] = account.name if account else None
-        if operation is not None:
-            attempt_summary = operation.attempt_summary
-            fields["parts"] = attempt_summary.part_count
-            fields["present"] = attempt_summary.answered_count
-            fields["sends"] = attempt_summary.attempt_count
-            fields["targets"] = attempt_summary.target_ids
-            if attempt_summary.missing_shards:
-                fields["missing"] = attempt_summary.missing_shards
-        return fields
-
-    def _log_answered(
-        self,
-        request: http_server.Request,
-        request_id: str,
-        admitted_request: _AdmittedRequest | None,
-        operation: scatter_gather.ScatterGather | forwarding.Forward | None,
-        reply: http_server.Reply,
-    ) -> None:
-        fields = self._log_fields(
-            request, request_id, admitted_request, operation
-        )
-        events.log(
-            events.Event.REQUEST_ANSWERED,
-            ordinary=not fields.get("missing"),
-            status=reply.status,
-            **fields,
-        )
-        self._record_metrics(request, str(reply.status), admitted_request)
-
-    def _log_refused_or_failed(
-        self,
-        request: http_server.Request,
-        request_id: str,
-        admitted_request: _AdmittedRequest | None,
-        operation: scatter_gather.ScatterGather | forwarding.Forward | None,
-        error: errors.RequestError,
-    ) -> None:
-        has_not_run = error.code.status != 502 and error.code.status != 504
-        event = (
-            events.Event.REQUEST_REFUSED
-            if has_not_run
-            else events.Event.REQUEST_FAILED
-        )
-        fields = self._log_fields(
-            request, request_id, admitted_request, operation
-        )
-        if error.code in _CODES_DECIDED_BY_CONFIGURATION:
-            catalogue = self._gateway_state.catalogue
-            fields["revision"] = catalogue.revision
-            fields["configuration_revision"] = catalogue.configuration_revision
-        events.log(
-            event,
-            ordinary=error.code is errors.ErrorCode.OVER_QUOTA,
-            status=error.code.status,
-            code=error.code.identifier,
-            detail=error.detail,
-            retry_after_s=error.retry_after_s,
-            **fields,
-        )
-        self._record_metrics(request, error.code.identifier, admitted_request)
-
-    def _log_cancelled(
-        self,
-        request: http_server.Request,
-        request_id: str,
-        admitted_request: _AdmittedRequest | None,
-        operation: scatter_gather.ScatterGather | forwarding.Forward | None,
-    ) -> None:
-        events.log(
-            events.Event.REQUEST_CANCELLED,
-            ordinary=True,
-            **self._log_fields(
-                request, request_id, admitted_request, operation
-            ),
-        )
-        self._record_metrics(request, "cancelled", admitted_request)
-
-    def _record_metrics(
-        self,
-        request: http_server.Request,
-        result: str,
-        admitted_request: _AdmittedRequest | None,
-    ) -> None:
-        route = admitted_request.route.name if admitted_request else ""
-        labels = {"route": route, "result": result}
-        metrics = self._gateway_state.metrics
-        metrics.requests.add(1, labels)
-        elapsed_s = clock.monotonic() - request.received_at
-        metrics.latency.record(elapsed_s, {"route": route})
-
 
 def _caller_timeout_s(header: str | None) -> float:
     """Returns how long the caller waits for the reply.
