Answer every request that was read before a planned stop ends

Cause: a draining gateway took requests until the end of its grace period, sent them to targets, and closed the connections when the period ended. Callers could not know whether requests that may run once only had run (LOST). Change: DrainSchedule decides, apart from input and output: all requests are taken while the balancer may still send callers, later ones only if their own deadline lies within the period; others are refused as not run (CG18, 503). At the end of the period, whatever is in flight gets the answer that is possible: the parts of a search that are in, or 504 (CG19).

--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import pathlib
 import random
 import signal
@@ -10,6 +11,7 @@
 
 import attrs
 
+from cassiahead_decisions import drain_schedule
 from cassiahead_decisions import reader_role
 from cassiahead_gateway import gateway_state as gateway_state_lib
 from cassiahead_gateway import heartbeat_exchanger
@@ -35,16 +37,6 @@
 # A longer delay of the event loop counts as a pause: the process was suspended
 # or got no processor time.
 _PAUSE_THRESHOLD_S = 1.0
-# Time after the signal to stop for which the gateway still accepts connections.
-# The balancer takes a host out of service after two readiness checks, one
-# second apart, that are not answered with 200; until then callers keep their
-# connections to the host.
-_STOP_LISTENING_AFTER_S = 3.0
-# Time after the signal to stop at which connections without a request are
-# closed. Any other connection is closed after its next reply.
-_CLOSE_IDLE_AFTER_S = 4.5
-# Time left for writing the last replies before the process is killed.
-_GRACE_MARGIN_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.05
 
 
@@ -208,29 +200,42 @@
         events.log(events.Event.RELOADED, changed=changed_setting_names)
 
     async def drain(self) -> None:
-        """Becomes unready, stops listening and waits for connections to close.
+        """Becomes unready, stops listening and answers what is in flight.
 
         Keeps listening until the balancer has taken the host out of service.
         The wait ends when all connections are closed, or shortly before the
-        process is killed.
+        process is killed; see ``DrainSchedule``.
         """
-        drain_started_at = clock.monotonic()
-        deadline = drain_started_at + self._settings.grace_s - _GRACE_MARGIN_S
+        schedule = drain_schedule.DrainSchedule.from_signal(
+            clock.monotonic(), self._settings.grace_s
+        )
         events.log(
             events.Event.DRAINING,
             in_flight=self._request_handler.in_flight_count,
         )
         self._heartbeat_exchanger.announce_leaving()
         self._caller_server.is_closing = True
-        stop_listening_at = min(
-            drain_started_at + _STOP_LISTENING_AFTER_S, deadline
-        )
-        await asyncio.sleep(stop_listening_at - clock.monotonic())
+        self._request_handler.start_drain(schedule)
+        await asyncio.sleep(schedule.stop_listening_at - clock.monotonic())
         self._caller_server.stop_listening()
-        close_idle_at = min(drain_started_at + _CLOSE_IDLE_AFTER_S, deadline)
+        await self._wait_for_connections(
+            schedule.answer_all_at, schedule.close_idle_at
+        )
+        self._request_handler.stop_all()
+        await self._wait_for_connections(schedule.kill_at, -math.inf)
+
+    async def _wait_for_connections(
+        self, until: float, close_idle_at: float
+    ) -> None:
+        """Waits until all callers' connections are closed.
+
+        Args:
+            until: When the wait ends at the latest.
+            close_idle_at: From when on connections without a request are
+                closed. Any other is closed after its next reply.
+        """
         while (
-            self._caller_server.connection_count
-            and clock.monotonic() < deadline
+            self._caller_server.connection_count and clock.monotonic() < until
         ):
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
             if clock.monotonic() >= close_idle_at:
--- a/packages/gateway/src/cassiahead_gateway/errors.py
+++ b/packages/gateway/src/cassiahead_gateway/errors.py
@@ -29,6 +29,8 @@
     COVERAGE_TOO_LOW = ("CG14", 502)
     POISONED = ("CG16", 503)
     INTERNAL = ("CG17", 502)
+    STOPPING = ("CG18", 503)
+    STOPPED = ("CG19", 504)
 
     @property
     def identifier(self) -> str:
--- a/packages/gateway/src/cassiahead_gateway/forwarding.py
+++ b/packages/gateway/src/cassiahead_gateway/forwarding.py
@@ -82,6 +82,10 @@
             raise self._failure(call, has_attempt_in_flight)
         return self._reply(answer)
 
+    def stop(self) -> None:
+        """Ends the request now, since the gateway shuts down."""
+        self._completion.stop()
+
     def _check_completion(self, call: service_call.ServiceCall) -> None:
         if call.is_settled:
             self._completion.finish()
@@ -116,6 +120,10 @@
     def _failure(
         self, call: service_call.ServiceCall, has_attempt_in_flight: bool
     ) -> errors.RequestError:
+        if self._completion.is_stopped:
+            if has_attempt_in_flight or call.may_have_run:
+                return request_operation.stopped_error()
+            return request_operation.stopping_error()
         if has_attempt_in_flight:
             return errors.RequestError(
                 errors.ErrorCode.DEADLINE,
--- a/packages/gateway/src/cassiahead_gateway/request_handler.py
+++ b/packages/gateway/src/cassiahead_gateway/request_handler.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cassiahead_decisions import drain_schedule
 from cassiahead_decisions import poison
 from cassiahead_decisions import sampling
 from cassiahead_gateway import api
@@ -18,6 +19,7 @@
 from cassiahead_gateway import headers as headers_lib
 from cassiahead_gateway import http_server
 from cassiahead_gateway import request_log
+from cassiahead_gateway import request_operation
 from cassiahead_gateway import scatter_gather
 from cassiahead_telemetry import events
 from cassiahead_wire import clock
@@ -43,6 +45,10 @@
 
     _gateway_state: gateway_state_lib.GatewayState
     in_flight_count: int = 0
+    _drain_schedule: drain_schedule.DrainSchedule | None = None
+    _operations: set[scatter_gather.ScatterGather | forwarding.Forward] = (
+        attrs.field(factory=set)
+    )
 
     async def handle(self, request: http_server.Request) -> http_server.Reply:
         """Handles one request of a caller.
@@ -86,6 +92,15 @@
             self.in_flight_count -= 1
         return reply
 
+    def start_drain(self, schedule: drain_schedule.DrainSchedule) -> None:
+        """Refuses from now on the requests that the schedule does not take."""
+        self._drain_schedule = schedule
+
+    def stop_all(self) -> None:
+        """Answers all requests in flight with what is known of them now."""
+        for operation in list(self._operations):
+            operation.stop()
+
     async def _run(
         self, record: request_log.RequestRecord
     ) -> http_server.Reply:
@@ -97,7 +112,11 @@
         record.operation = self._create_operation(
             record.request, record.request_id, record.admitted_request
         )
-        return await record.operation.run()
+        self._operations.add(record.operation)
+        try:
+            return await record.operation.run()
+        finally:
+            self._operations.discard(record.operation)
 
     def _current_router(self) -> routing.Router:
         router = self._gateway_state.catalogue.router
@@ -131,6 +150,7 @@
                 errors.ErrorCode.BODY_TOO_LARGE,
                 f"the request body exceeds {max_body_bytes} bytes",
             )
+        self._reject_too_late(request, route)
         fingerprint = _fingerprint(request, account)
         if account is not None:
             self._charge_quota(account, fingerprint)
@@ -138,6 +158,27 @@
             route, account, router.configuration.version, fingerprint
         )
 
+    def _reject_too_late(
+        self, request: http_server.Request, route: api.Route
+    ) -> None:
+        """Refuses a request that may not end before this process does."""
+        schedule = self._drain_schedule
+        if schedule is not None and not schedule.accepts(
+            self._deadline(request, route), clock.monotonic()
+        ):
+            raise request_operation.stopping_error()
+
+    def _deadline(
+        self, request: http_server.Request, route: api.Route
+    ) -> float:
+        """Returns when the caller stops waiting, on the monotonic clock."""
+        caller_timeout_s = _caller_timeout_s(
+            request.headers.get(
+                self._gateway_state.settings.headers.deadline_ms
+            )
+        )
+        return request.received_at + min(caller_timeout_s, route.timeout_s)
+
     def _charge_quota(self, account: api.Account, fingerprint: str) -> None:
         now = clock.monotonic()
         gateway_state = self._gateway_state
@@ -224,17 +265,13 @@
         headers[header_names.request_id] = request_id
         if admitted_request.account is not None:
             headers[header_names.account] = admitted_request.account.name
-        caller_timeout_s = _caller_timeout_s(
-            request.headers.get(header_names.deadline_ms)
-        )
-        timeout_s = min(caller_timeout_s, admitted_request.route.timeout_s)
         return attempts.OutgoingRequest(
             request_id,
             request.method,
             request.path,
             headers,
             request.body,
-            request.received_at + timeout_s,
+            self._deadline(request, admitted_request.route),
             admitted_request.fingerprint,
         )
 
--- a/packages/gateway/src/cassiahead_gateway/request_operation.py
+++ b/packages/gateway/src/cassiahead_gateway/request_operation.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from cassiahead_gateway import errors
+
 __all__ = [
     "AttemptSummary",
     "CAPACITY_POLL_INTERVAL_S",
@@ -15,6 +17,9 @@
     "LATE_HEDGE_KEPT_FRACTION",
     "NO_TARGET_RETRY_AFTER_S",
     "SHED_RETRY_AFTER_S",
+    "STOPPING_RETRY_AFTER_S",
+    "stopped_error",
+    "stopping_error",
 ]
 
 # Interval at which a call that found no target with capacity tries again.
@@ -30,6 +35,8 @@
 LATE_HEDGE_KEPT_FRACTION = 0.2
 SHED_RETRY_AFTER_S = 0.3
 NO_TARGET_RETRY_AFTER_S = 0.5
+# The retry reaches another host, since this one closes the connection.
+STOPPING_RETRY_AFTER_S = 0.05
 
 
 @attrs.define
@@ -60,9 +67,11 @@
 
     Attributes:
         future: Resolved when the request has nothing more to wait for.
+        is_stopped: Whether the gateway shuts down before the request's end.
     """
 
     future: asyncio.Future[None]
+    is_stopped: bool = False
     _timers: list[asyncio.TimerHandle] = attrs.field(factory=list)
 
     @classmethod
@@ -75,6 +84,12 @@
         if not self.future.done():
             self.future.set_result(None)
 
+    def stop(self) -> None:
+        """Resolves ``future`` because the gateway shuts down."""
+        if not self.future.done():
+            self.is_stopped = True
+            self.finish()
+
     def call_later(
         self, delay_s: float, callback: object, *args: object
     ) -> None:
@@ -93,3 +108,20 @@
         """Cancels all timers."""
         for timer in self._timers:
             timer.cancel()
+
+
+def stopping_error() -> errors.RequestError:
+    """Returns the refusal of a request that no target has run."""
+    return errors.RequestError(
+        errors.ErrorCode.STOPPING,
+        "the gateway is shutting down",
+        STOPPING_RETRY_AFTER_S,
+    )
+
+
+def stopped_error() -> errors.RequestError:
+    """Returns the failure of a request that a target may have run."""
+    return errors.RequestError(
+        errors.ErrorCode.STOPPED,
+        "the gateway shut down before an answer came",
+    )
--- a/packages/gateway/src/cassiahead_gateway/scatter_gather.py
+++ b/packages/gateway/src/cassiahead_gateway/scatter_gather.py
@@ -82,6 +82,8 @@
         targets_of_shards = self._examine_shards()
         self._check_availability(targets_of_shards)
         targets_of_shards = await self._wait_for_capacity(targets_of_shards)
+        if self._completion.is_stopped:
+            raise request_operation.stopping_error()
         self._calls = [
             service_call.ServiceCall(
                 shard,
@@ -109,6 +111,10 @@
             self._fill_attempt_summary()
         return self._merged_reply()
 
+    def stop(self) -> None:
+        """Ends the request with the parts that are in; the gateway stops."""
+        self._completion.stop()
+
     @property
     def _required_shard_count(self) -> int:
         return gathering.required_part_count(
@@ -354,6 +360,8 @@
             f"{self.attempt_summary.answered_count} of "
             f"{self.attempt_summary.part_count} shards answered"
         )
+        if self._completion.is_stopped:
+            return request_operation.stopped_error()
         if all(not c.may_have_run and c.has_failed for c in self._calls):
             return errors.RequestError(
                 errors.ErrorCode.SHED,
