Refill an account's own share only for requests

Cause: each heartbeat refilled the buckets of all accounts, and with them the share of this process, which only requests need. Change: refill_own is apart, and admit calls it.

--- a/packages/decisions/src/cassiahead_decisions/fleet_quota.py
+++ b/packages/decisions/src/cassiahead_decisions/fleet_quota.py
@@ -138,6 +138,7 @@
         if bucket is None:
             return True
         bucket.refill(now)
+        bucket.refill_own(now)
         if not bucket.sampler.admits(sample_point, bucket.fill_fraction(), now):
             return False
         if bucket.tokens < 1:
--- a/packages/decisions/src/cassiahead_decisions/token_bucket.py
+++ b/packages/decisions/src/cassiahead_decisions/token_bucket.py
@@ -114,6 +114,7 @@
         own_tokens: Tokens of this process's own share, which are required in
             addition while the process is isolated.
         refilled_at: Time of the last refill.
+        own_refilled_at: Time of the last refill of ``own_tokens``.
         own_count: Admissions of this process since its start.
         own_rate_per_s: Smoothed rate of this process's admissions, as of the
             last admission.
@@ -128,6 +129,7 @@
     tokens: float
     own_tokens: float
     refilled_at: float
+    own_refilled_at: float
     own_count: int = 0
     own_rate_per_s: float = 0.0
     own_last_admitted_at: float = -math.inf
@@ -145,7 +147,11 @@
             limit.burst, max(5.0, _INITIAL_TOKENS_S * limit.rate_per_s)
         )
         return cls(
-            limit, tokens, max(1.0, _NO_PEERS_SHARE_FRACTION * tokens), now
+            limit,
+            tokens,
+            max(1.0, _NO_PEERS_SHARE_FRACTION * tokens),
+            now,
+            now,
         )
 
     def refill(self, now: float) -> None:
@@ -161,6 +167,15 @@
             group.assumed_count += assumed_count
             gained_tokens -= assumed_count
         self.tokens = min(self.limit.burst, self.tokens + gained_tokens)
+
+    def refill_own(self, now: float) -> None:
+        """Adds the accrued tokens of this process's own share.
+
+        Needed only for requests, not for the reports of peers, which are far
+        more frequent in a large fleet.
+        """
+        elapsed_s = max(0.0, now - self.own_refilled_at)
+        self.own_refilled_at = now
         own_fraction = _ISOLATED_USE_FRACTION * self.share_fraction()
         self.own_tokens = min(
             max(1.0, own_fraction * self.limit.burst),
