Tell partners only the counts that they lack, and news once

In a profile of one host half of the busy time went to heartbeats: 48 a second sent or answered, each with the counts of all active accounts; news of a read or of records went over each link between partners (24 sent a second, 14 intended). Change: reports of admissions are numbered and acknowledged, and contain what changed since the last acknowledged one; none go to hosts that do not use them. News from a peer is passed on only to groups with higher numbers, which makes a tree. Heartbeats are compressed with a dictionary that is part of the protocol.

--- a/packages/decisions/src/cassiahead_decisions/fleet_quota.py
+++ b/packages/decisions/src/cassiahead_decisions/fleet_quota.py
@@ -236,7 +236,7 @@
         *,
         is_full: bool = True,
         has_started_since: bool = False,
-    ) -> None:
+    ) -> bool:
         """Merges the admissions of a group since the start of its partner.
 
         Ignores the reports of a new partner before its first full one.
@@ -245,7 +245,8 @@
             group: Number of the group.
             process_name: Name of the partner's process, new at each start.
             counts: Cumulative admissions of the group by account, as far as the
-                partner knows them.
+                partner knows them; those that have not changed since an earlier
+                report may be left out.
             now: Current time.
             is_full: Whether ``counts`` has the accounts without recent
                 admissions too.
@@ -261,7 +262,7 @@
             or reporter.is_silent
         )
         if is_new_partner and not is_full:
-            return
+            return False
         if reporter is not None and reporter.is_silent:
             # What the group admitted in the meantime is long refilled.
             has_started_since = False
@@ -293,6 +294,7 @@
             if count > admissions.reported_count:
                 bucket.last_heard_at = now
             bucket.tokens -= admissions.merge_count(count, now)
+        return True
 
     def needs_full_report(self, group: int, process_name: str) -> bool:
         """Returns whether a process must report the counts of all accounts."""
--- a/packages/decisions/src/cassiahead_decisions/heartbeat_schedule.py
+++ b/packages/decisions/src/cassiahead_decisions/heartbeat_schedule.py
@@ -1,5 +1,11 @@
 """Decides when a process sends a heartbeat to a partner.
 
+News of the records goes through the fleet along a tree: a process passes on
+what a peer of one group told it to its groups with higher numbers only. These
+are together the group that the peer sees (see ``peer_groups``), so that each
+process is told once. Where the tree is broken, the regular heartbeats to the
+other partners carry the news.
+
 Load pattern: a large fleet, in which each process may spend only a small and
 constant part of its processor time and link on heartbeats; new records must
 reach all processes quickly all the same.
@@ -11,7 +17,10 @@
 
 import attrs
 
-__all__ = ["Contact", "HeartbeatSchedule"]
+__all__ = ["NO_GROUP", "Contact", "HeartbeatSchedule"]
+
+# Stands for the group that news came from, if this process read it itself.
+NO_GROUP = -1
 
 # Interval to each partner without admissions and news.
 _IDLE_INTERVAL_S = 1.0
@@ -70,6 +79,8 @@
         read_at: Time of the newest read of these records.
         address_count: Number of addresses that this process has learned.
         uptime_s: Seconds since this process started.
+        revision_group: Group of the peer that the newest records came from.
+        read_group: Group of the peer that reported the newest read.
     """
 
     partner_count: int
@@ -78,6 +89,8 @@
     read_at: float
     address_count: int
     uptime_s: float = math.inf
+    revision_group: int = NO_GROUP
+    read_group: int = NO_GROUP
 
     @property
     def interval_s(self) -> float:
@@ -89,7 +102,11 @@
         return max(_MIN_INTERVAL_S, self.partner_count / _MAX_HEARTBEATS_PER_S)
 
     def is_due(
-        self, contact: Contact, sent_address_count: int, now: float
+        self,
+        contact: Contact,
+        sent_address_count: int,
+        now: float,
+        group: int = 0,
     ) -> bool:
         """Returns whether a heartbeat to a partner is due.
 
@@ -97,13 +114,17 @@
             contact: What the partner knows.
             sent_address_count: Number of learned addresses sent to it.
             now: Current time.
+            group: Number of the partner's group.
         """
         elapsed_s = now - contact.in_touch_at
         if elapsed_s >= self.interval_s:
             return True
-        if self.revision > contact.revision:
+        if group > self.revision_group and self.revision > contact.revision:
             return True
-        if self.read_at - contact.read_at > _READ_NEWS_THRESHOLD_S:
+        if (
+            group > self.read_group
+            and self.read_at - contact.read_at > _READ_NEWS_THRESHOLD_S
+        ):
             return True
         has_new_addresses = sent_address_count < self.address_count
         return has_new_addresses and elapsed_s >= _ADDRESS_NEWS_INTERVAL_S
--- a/packages/decisions/tests/test_heartbeat_schedule.py
+++ b/packages/decisions/tests/test_heartbeat_schedule.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cassiahead_decisions import heartbeat_schedule
+from cassiahead_decisions import peer_table
 
 _SCHEDULE = heartbeat_schedule.HeartbeatSchedule(
     partner_count=7,
@@ -74,3 +75,33 @@
             uptime_s=uptime_s,
         )
         assert schedule.is_due(contact, 0, 10.25) is is_due
+
+
+def test_news_reaches_each_process_of_a_fleet_once() -> None:
+    # Each process passed the news on to all its partners, so that it went over
+    # each link between partners.
+    addresses = [f"10.0.0.{number}:1" for number in range(84)]
+    table_by_address = {a: peer_table.PeerTable(a) for a in addresses}
+    for table in table_by_address.values():
+        for address in addresses:
+            table.add_address(address)
+    origin = addresses[17]
+    told_addresses: list[str] = []
+    waiting = [(origin, heartbeat_schedule.NO_GROUP)]
+    while waiting:
+        sender, source_group = waiting.pop()
+        schedule = attrs.evolve(
+            _SCHEDULE, revision=6, revision_group=source_group
+        )
+        for group, address in table_by_address[sender].partners().items():
+            if schedule.is_due(_UP_TO_DATE, 3, 10.0, group):
+                told_addresses.append(address)
+                own_group = table_by_address[address].group_of(sender)
+                waiting.append((address, own_group))
+    assert sorted(told_addresses) == sorted(set(addresses) - {origin})
+
+
+def test_news_reaches_the_other_partners_with_the_next_heartbeat() -> None:
+    schedule = attrs.evolve(_SCHEDULE, revision=6, revision_group=3)
+    assert not schedule.is_due(_UP_TO_DATE, 3, 10.0, 2)
+    assert schedule.is_due(_UP_TO_DATE, 3, 10.0 + schedule.interval_s, 2)
--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -99,7 +99,7 @@
                 clock.monotonic(),
                 not settings.seeds or settings.peers in settings.seeds,
             ),
-            exchanger.notify_news,
+            exchanger.notify_own_read,
         )
         application = cls(
             settings,
--- a/packages/gateway/src/cassiahead_gateway/heartbeat_exchanger.py
+++ b/packages/gateway/src/cassiahead_gateway/heartbeat_exchanger.py
@@ -70,6 +70,9 @@
     )
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     _has_news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    # Groups of the peers that the newest records and the newest read came from.
+    _revision_group: int = heartbeat_schedule.NO_GROUP
+    _read_group: int = heartbeat_schedule.NO_GROUP
 
     @classmethod
     def from_state(
@@ -97,8 +100,10 @@
         """Adds the seed addresses of the settings to the known addresses."""
         self._gateway_state.peers.add_seeds(self._gateway_state.settings.seeds)
 
-    def notify_news(self) -> None:
-        """Sends heartbeats soon to the partners that lack new records."""
+    def notify_own_read(self) -> None:
+        """Tells the partners soon of a read by this process."""
+        self._revision_group = heartbeat_schedule.NO_GROUP
+        self._read_group = heartbeat_schedule.NO_GROUP
         self._has_news.set()
 
     def announce_leaving(self) -> None:
@@ -150,24 +155,25 @@
             channel.pool.close()
 
     def _handle_heartbeat(self, body: bytes) -> http_server.Reply:
-        heartbeat = messages.decode(body, messages.Heartbeat)
+        heartbeat = messages.decode_heartbeat(body)
         channel = self._channel(heartbeat.address)
+        self._protocol.record_acknowledgement(heartbeat)
         reply = self._build(
             heartbeat.address, channel, heartbeat.wants_full, clock.monotonic()
         )
         channel.known_address_count = self._gateway_state.peers.address_count
         self._apply(heartbeat, channel)
         channel.wants_full = False
-        reply_body = messages.encode(reply)
+        reply_body = messages.encode_heartbeat(reply)
         metrics = self._gateway_state.metrics
         metrics.heartbeat_bytes.add("received", len(body))
         metrics.heartbeat_bytes.add("sent", len(reply_body))
-        return http_server.plain_reply(200, reply_body, "application/json")
+        return http_server.plain_reply(200, reply_body, "application/zlib")
 
     def _send_due(self, now: float) -> None:
         """Starts the heartbeats to partners and lost peers that are due."""
         gateway_state = self._gateway_state
-        partners = gateway_state.peers.partners().values()
+        partners = gateway_state.peers.partners()
         schedule = heartbeat_schedule.HeartbeatSchedule(
             partner_count=len(partners),
             has_admissions=gateway_state.quota.has_recent_admissions(now),
@@ -175,13 +181,15 @@
             read_at=now - gateway_state.catalogue.age_s(now),
             address_count=gateway_state.peers.address_count,
             uptime_s=now - gateway_state.started_at,
+            revision_group=self._revision_group,
+            read_group=self._read_group,
         )
-        for address in partners:
+        for group, address in partners.items():
             channel = self._channel(address)
             if channel.is_busy:
                 continue
             if channel.wants_full or schedule.is_due(
-                channel.contact, channel.known_address_count, now
+                channel.contact, channel.known_address_count, now, group
             ):
                 self._start_heartbeat(address, channel)
         for address in gateway_state.peers.retry_addresses(now):
@@ -218,13 +226,13 @@
         own_heartbeat = self._build(
             address, channel, is_full, clock.monotonic()
         )
-        body = messages.encode(own_heartbeat)
+        body = messages.encode_heartbeat(own_heartbeat)
         gateway_state.metrics.heartbeat_bytes.add("sent", len(body))
         try:
             response = await channel.pool.post(
                 heartbeats.HEARTBEAT_PATH, body, _HEARTBEAT_TIMEOUT_S
             )
-            heartbeat = messages.decode(response.body, messages.Heartbeat)
+            heartbeat = messages.decode_heartbeat(response.body)
         except connection_lib.TransportError as error:
             channel.may_lack_reply |= error.may_have_been_sent
             self._record_failure(address, error.kind, len(body))
@@ -280,11 +288,20 @@
             now - min((r.age_s for r in heartbeat.reads), default=math.inf),
         )
         self._fetcher.record_revision(
-            heartbeat.address, heartbeat.at, self.notify_news
+            heartbeat.address, heartbeat.at, self._on_records
         )
         if self._gateway_state.catalogue.age_s(now) < age_before_s:
-            # The peer knew of a newer read, of which other partners may not.
-            self.notify_news()
+            self._read_group = self._gateway_state.peers.group_of(
+                heartbeat.address
+            )
+            self._has_news.set()
+
+    def _on_records(self, address: str) -> None:
+        """Tells the partners soon of records and reads that a peer has sent."""
+        group = self._gateway_state.peers.group_of(address)
+        self._revision_group = group
+        self._read_group = group
+        self._has_news.set()
 
     def _record_failure(self, address: str, kind: str, sent_bytes: int) -> None:
         """Leaves an address out until it answers, and tries another one."""
--- a/packages/gateway/src/cassiahead_gateway/heartbeats.py
+++ b/packages/gateway/src/cassiahead_gateway/heartbeats.py
@@ -12,6 +12,7 @@
 
 from cassiahead_decisions import peer_table
 from cassiahead_decisions import poison
+from cassiahead_decisions import reported_counts
 from cassiahead_gateway import gateway_state as gateway_state_lib
 from cassiahead_gateway import messages
 from cassiahead_telemetry import events
@@ -30,6 +31,25 @@
 # Crashes are in heartbeats for this long after this process learned of them,
 # so that each partner gets them several times.
 _CRASH_REPORT_DURATION_S = 5.0
+# Bits of the random number after which the numbers of reports begin.
+_REPORT_NUMBER_BITS = 32
+
+
+@attrs.define
+class _ReportState:
+    """Reports of admissions exchanged with one address.
+
+    Attributes:
+        sent: What the peer has been told.
+        is_ignored: Whether the peer has no use for the reports.
+        process_name: Process whose reports are received.
+        merged_number: Highest number of its reports that was merged.
+    """
+
+    sent: reported_counts.ReportedCounts
+    is_ignored: bool = False
+    process_name: str = ""
+    merged_number: int = 0
 
 
 @attrs.define(eq=False)
@@ -43,6 +63,9 @@
     _gateway_state: gateway_state_lib.GatewayState
     is_leaving: bool = False
     _reachable_process_names: set[str] = attrs.field(factory=set)
+    _report_state_by_address: dict[str, _ReportState] = attrs.field(
+        factory=dict
+    )
 
     def needs_full(self, address: str) -> bool:
         """Returns whether this process needs a full heartbeat of a peer."""
@@ -75,6 +98,13 @@
         peers = gateway_state.peers
         lowest_group = peers.group_of(address) + 1
         own_leaving_count = 1 if self.is_leaving else 0
+        report_state = self._report_state(address)
+        report = report_state.sent.report(
+            gateway_state.quota.admission_counts(now, lowest_group, is_full)
+            if is_full or not report_state.is_ignored
+            else {},
+            is_full,
+        )
         return messages.Heartbeat(
             process=gateway_state.process_name,
             address=gateway_state.settings.peers,
@@ -92,12 +122,19 @@
                 for report in gateway_state.freshness.reports(now)
             ],
             addresses=peers.addresses() if is_full else list(new_addresses),
-            admitted=gateway_state.quota.admission_counts(
-                now, lowest_group, is_full
-            ),
+            admitted=report.counts,
+            report=report.number,
+            merged_report=report_state.merged_number,
+            ignores_reports=not peers.is_partner(address),
             crashes=self._crash_reports(is_full, now),
         )
 
+    def record_acknowledgement(self, heartbeat: messages.Heartbeat) -> None:
+        """Records which reports the sender of a heartbeat has merged."""
+        report_state = self._report_state(heartbeat.address)
+        report_state.is_ignored = heartbeat.ignores_reports
+        report_state.sent.acknowledge(heartbeat.merged_report)
+
     def apply(self, heartbeat: messages.Heartbeat, now: float) -> None:
         """Applies a heartbeat of a peer.
 
@@ -106,6 +143,7 @@
             now: Time in seconds on this process's monotonic clock.
         """
         gateway_state = self._gateway_state
+        self.record_acknowledgement(heartbeat)
         self._record_peer(heartbeat, now)
         for report in heartbeat.reads:
             gateway_state.freshness.record(report, now)
@@ -153,7 +191,7 @@
         last_report_at = gateway_state.quota.last_report_at(group)
         if last_report_at is None:
             last_report_at = gateway_state.started_at
-        gateway_state.quota.merge_report(
+        is_merged = gateway_state.quota.merge_report(
             group,
             heartbeat.process,
             heartbeat.admitted,
@@ -162,6 +200,30 @@
             has_started_since=heartbeat.uptime_s
             <= now - last_report_at + _SAME_START_WINDOW_S,
         )
+        if is_merged:
+            self._record_merged(heartbeat)
+
+    def _record_merged(self, heartbeat: messages.Heartbeat) -> None:
+        """Notes a merged report, to acknowledge it in the next heartbeat."""
+        report_state = self._report_state(heartbeat.address)
+        if report_state.process_name != heartbeat.process:
+            report_state.process_name = heartbeat.process
+            report_state.merged_number = 0
+        report_state.merged_number = max(
+            report_state.merged_number, heartbeat.report
+        )
+
+    def _report_state(self, address: str) -> _ReportState:
+        report_state = self._report_state_by_address.get(address)
+        if report_state is None:
+            first_number = self._gateway_state.rng.getrandbits(
+                _REPORT_NUMBER_BITS
+            )
+            report_state = _ReportState(
+                reported_counts.ReportedCounts(first_number)
+            )
+            self._report_state_by_address[address] = report_state
+        return report_state
 
     def _crash_reports(
         self, is_full: bool, now: float
--- a/packages/gateway/src/cassiahead_gateway/messages.py
+++ b/packages/gateway/src/cassiahead_gateway/messages.py
@@ -21,14 +21,27 @@
     "RecordsRequest",
     "compress",
     "decode",
+    "decode_heartbeat",
     "decompress",
     "encode",
+    "encode_heartbeat",
 ]
 
 _MessageT = TypeVar("_MessageT")
 
 # Longest text of a compressed message; records are at most a few megabytes.
 _MAX_TEXT_BYTES = 16 * 1024 * 1024
+# Text that is frequent in heartbeats, so that short ones can be compressed. It
+# is part of the protocol: both ends must have the same.
+_HEARTBEAT_DICTIONARY = (
+    b'"ignores_reports":true,"crashes":[{"fingerprint":"","process":"",'
+    b'"number":,"count":,"ttl_s":}],"addresses":["10."],"is_full":true,'
+    b'"wants_full":true,"leaving":1,{"process":"front-","address":"10.",'
+    b'"uptime_s":,"at":,"staying":,"fleet":,"reads":[{"process":"front-",'
+    b'"number":,"revision":,"age_s":0.}],"admitted":{"":,},"report":,'
+    b'"merged_report":}'
+)
+_JSON_OBJECT_START = b"{"
 # Bound of the numbers in messages, so that they can be used in calculations.
 _MAX_NUMBER = 2**63 - 1
 # A reason may repeat parts of the message.
@@ -82,7 +95,12 @@
         addresses: Addresses at which there may be other processes, as far as
             the receiver may not know them.
         admitted: Number of requests admitted since the sender's start, by
-            client account.
+            client account, as far as the receiver may lack it.
+        report: Number of this report of admissions to the receiver.
+        merged_report: Highest number of the receiver's reports that the sender
+            has merged; 0 if it has merged none.
+        ignores_reports: Whether the sender has no use for the receiver's
+            admissions, since it gets them from another process.
         crashes: Crashes of targets that the fleet has detected lately.
     """
 
@@ -98,6 +116,9 @@
     reads: list[record_freshness.ReadReport] = attrs.field(factory=list)
     addresses: list[str] = attrs.field(factory=list)
     admitted: dict[str, int] = attrs.field(factory=dict)
+    report: int = 0
+    merged_report: int = 0
+    ignores_reports: bool = False
     crashes: list[poison.RelayedReport] = attrs.field(factory=list)
 
 
@@ -198,18 +219,39 @@
         raise MessageError(str(error)[:_MAX_REASON_CHARACTERS]) from error
 
 
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Returns a heartbeat as compressed JSON."""
+    compressor = zlib.compressobj(1, zdict=_HEARTBEAT_DICTIONARY)
+    return compressor.compress(encode(heartbeat)) + compressor.flush()
+
+
+def decode_heartbeat(body: bytes) -> Heartbeat:
+    """Decodes a heartbeat, which may also be plain JSON.
+
+    Raises:
+        MessageError: If the body is not a valid heartbeat.
+    """
+    if not body.startswith(_JSON_OBJECT_START):
+        body = decompress(body, _HEARTBEAT_DICTIONARY)
+    return decode(body, Heartbeat)
+
+
 def compress(text: bytes) -> bytes:
     """Compresses an encoded message, in the zlib format."""
     return zlib.compress(text, 1)
 
 
-def decompress(data: bytes) -> bytes:
+def decompress(data: bytes, dictionary: bytes = b"") -> bytes:
     """Decompresses an encoded message.
 
+    Args:
+        data: The compressed message.
+        dictionary: Text that the sender compressed with.
+
     Raises:
         MessageError: If the data is not complete or the text is too long.
     """
-    decompressor = zlib.decompressobj()
+    decompressor = zlib.decompressobj(zdict=dictionary)
     try:
         text = decompressor.decompress(data, _MAX_TEXT_BYTES)
     except zlib.error as error:
--- a/packages/gateway/src/cassiahead_gateway/record_fetcher.py
+++ b/packages/gateway/src/cassiahead_gateway/record_fetcher.py
@@ -64,14 +64,15 @@
     _cached_reply: _CachedReply | None = None
 
     def record_revision(
-        self, address: str, revision: int, on_records: Callable[[], None]
+        self, address: str, revision: int, on_records: Callable[[str], None]
     ) -> None:
         """Starts a fetch if a peer has newer records.
 
         Args:
             address: Address of the peer.
             revision: Revision up to which the peer knows the records.
-            on_records: Called after records were applied.
+            on_records: Called with the address of the peer after its records
+                were applied.
         """
         if revision <= self._gateway_state.catalogue.revision:
             return
@@ -101,7 +102,7 @@
         if not task.cancelled() and task.exception() is not None:
             events.log(events.Event.INTERNAL_ERROR, exc_info=task.exception())
 
-    async def _fetch(self, on_records: Callable[[], None]) -> None:
+    async def _fetch(self, on_records: Callable[[str], None]) -> None:
         """Fetches until no peer is known to have newer records.
 
         A peer that does not bring newer records is not asked again until it
@@ -109,7 +110,7 @@
         """
         while address := self._newest_address():
             if await self._fetch_once(address):
-                on_records()
+                on_records(address)
                 continue
             self._revision_by_address.pop(address, None)
             if not self._newest_address():
--- a/packages/gateway/src/cassiahead_gateway/record_reader.py
+++ b/packages/gateway/src/cassiahead_gateway/record_reader.py
@@ -41,13 +41,13 @@
     """Keeps the catalogue up to date from the configuration service.
 
     Attributes:
-        on_change: Called after a read that returned changes.
+        on_read: Called after each successful read.
     """
 
     _gateway_state: gateway_state_lib.GatewayState
     _source: record_source.RecordSource
     _role: reader_role.ReaderRole
-    on_change: Callable[[], None]
+    on_read: Callable[[], None]
     _needs_full_read: bool = False
     _last_answer_at: float = 0.0
     _read_count: int = 0
@@ -127,8 +127,8 @@
         # longer is the way back, or a pause of this process.
         read_s = self._last_answer_at - started_at
         self._apply(update, max(0.0, read_s - wait_s))
+        self.on_read()
         if update.changes:
-            self.on_change()
             await asyncio.sleep(_BATCH_DELAY_S)
 
     def _apply(self, update: records.Update, age_s: float) -> None:
--- a/packages/gateway/tests/test_messages.py
+++ b/packages/gateway/tests/test_messages.py
@@ -55,6 +55,29 @@
         messages.decompress(b"x" + data)
 
 
+def test_heartbeat_is_read_compressed_or_as_plain_json() -> None:
+    data = messages.encode_heartbeat(_HEARTBEAT)
+    assert len(data) < 0.6 * len(messages.encode(_HEARTBEAT))
+    assert messages.decode_heartbeat(data) == _HEARTBEAT
+    text = messages.encode(_HEARTBEAT)
+    assert messages.decode_heartbeat(text) == _HEARTBEAT
+
+
+def test_cut_off_or_invalid_heartbeat_raises_an_error() -> None:
+    data = messages.encode_heartbeat(_HEARTBEAT)
+    for length in range(len(data)):
+        with pytest.raises(messages.MessageError):
+            messages.decode_heartbeat(data[:length])
+    other_dictionary = zlib.compressobj(zdict=b"other")
+    for odd_data in (
+        b"x" + data,
+        zlib.compress(b"[]"),
+        other_dictionary.compress(b"{}") + other_dictionary.flush(),
+    ):
+        with pytest.raises(messages.MessageError):
+            messages.decode_heartbeat(odd_data)
+
+
 @pytest.mark.parametrize("text", [b"", b"[]", b'{"process": "x"}', b"\xff"])
 def test_invalid_message_raises_an_error(text: bytes) -> None:
     with pytest.raises(messages.MessageError):
--- a/packages/gateway/tests/test_record_fetcher.py
+++ b/packages/gateway/tests/test_record_fetcher.py
@@ -78,7 +78,9 @@
         fetcher = record_fetcher.RecordFetcher(gateway_state)
         has_records = asyncio.Event()
         for address in (_SILENT, _SOUND):
-            fetcher.record_revision(address, _REVISION, has_records.set)
+            fetcher.record_revision(
+                address, _REVISION, lambda _: has_records.set()
+            )
         await asyncio.wait_for(has_records.wait(), 10)
         assert gateway_state.catalogue.revision == _REVISION
         fetcher.close()
--- a/packages/gateway/tests/virtual_gateways.py
+++ b/packages/gateway/tests/virtual_gateways.py
@@ -149,6 +149,10 @@
         part_by_number: Hosts of different parts do not reach each other.
         hosts_without_service: Hosts that the service does not answer.
         loss_rate: Fraction of requests, and of replies, that are lost.
+        accounts: Client accounts, each with the same limit; published with the
+            next configuration.
+        request_count: Number of requests between hosts.
+        sent_bytes: Bytes of the bodies of these requests and of their replies.
         admitted_at: Times of all admissions.
         refused_at: Times of all refusals.
     """
@@ -166,6 +170,9 @@
     records: dict[str, records.Change] = attrs.field(factory=dict)
     published_at: dict[int, float] = attrs.field(factory=dict)
     call_count: int = 0
+    accounts: list[str] = attrs.field(factory=lambda: [ACCOUNT])
+    request_count: int = 0
+    sent_bytes: int = 0
     admitted_at: list[float] = attrs.field(factory=list)
     refused_at: list[float] = attrs.field(factory=list)
     failures: list[BaseException] = attrs.field(factory=list)
@@ -217,7 +224,7 @@
             rng, clock.monotonic(), address in self.seeds
         )
         reader = record_reader.RecordReader(
-            state, _Source(self, number), role, exchanger.notify_news
+            state, _Source(self, number), role, exchanger.notify_own_read
         )
         host = Host(number, address, state, exchanger, reader)
         self.hosts[number] = host
@@ -267,6 +274,8 @@
     ) -> connection_lib.Response:
         """Carries a request to a host, and its reply back."""
         sender = _current_host.get()
+        self.request_count += 1
+        self.sent_bytes += len(body)
         await asyncio.sleep(self.rng.uniform(0.001, 0.02))
         number = (
             self.addresses.index(address) if address in self.addresses else None
@@ -292,6 +301,7 @@
             self._handlers.get(number, host.exchanger.handle)(request),
             context=context,
         )
+        self.sent_bytes += len(reply.body)
         await asyncio.sleep(self.rng.uniform(0.001, 0.02))
         is_lost = self.rng.random() < self.loss_rate
         if is_lost or not self._is_connected(sender.number, number):
@@ -317,14 +327,20 @@
             return
         state = self.rng.choice(ready_hosts).state
         now = clock.monotonic()
+        account = (
+            self.accounts[0]
+            if len(self.accounts) == 1
+            else self.rng.choice(self.accounts)
+        )
         is_admitted = state.quota.admit(
-            ACCOUNT, now, state.peers.is_isolated(now)
+            account, now, state.peers.is_isolated(now)
         )
         (self.admitted_at if is_admitted else self.refused_at).append(now)
 
     def _decode(self, key: str, value: str) -> decoded_records.DecodedRecord:
         accounts: Mapping[str, api.Account] = {
-            ACCOUNT: api.Account(ACCOUNT, self.rate_per_s, self.rate_per_s)
+            account: api.Account(account, self.rate_per_s, self.rate_per_s)
+            for account in self.accounts
         }
         return decoded_records.ConfigurationRecord(
             api.Configuration(int(value), accounts=accounts)
