Split the selection of targets and the policies from larger modules

Change: TargetSelector, FleetSize and replica_policies are modules of their own; names of methods lose the words that their class now says.

--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from cassiahead_decisions import replica_policies
 from cassiahead_decisions import target_stats
 from cassiahead_notes import capacity
 
@@ -30,7 +31,6 @@
     "usable_replicas",
 ]
 
-_CROSS_DOMAIN_PENALTY_S = 0.003
 _FIRST_EJECTION_S = 1.0
 _MAX_EJECTION_S = 20.0
 # Added to the cost of an ejected replica, in seconds of latency.
@@ -54,41 +54,9 @@
     ]
 
 
-@attrs.frozen
-class TwoChoices:
-    """Power of two choices: takes the cheaper of two replicas drawn at random.
-
-    The cost of a replica, in seconds, is the expected time until a good answer,
-    multiplied by one plus the number of outstanding requests, plus penalties.
-    """
-
-
-@attrs.frozen
-class WeightedRandom:
-    """Draws a replica with a probability that falls with the replica's cost.
-
-    With few replicas, both of two random choices may be bad. Random weights
-    also spread the load of hosts that see the same costs: they would otherwise
-    all choose the cheapest replica. Costs are those of ``TwoChoices``.
-
-    Attributes:
-        cost_exponent: The probability is proportional to
-            ``cost ** -cost_exponent``.
-        cross_domain_penalty_s: Added to the cost of a replica in another
-            failure domain, in seconds of latency: the network path is longer,
-            and the traffic is billed.
-        bad_answer_penalty_s: Cost of a bad answer, in seconds of latency:
-            another attempt is needed and is charged to the extra-load budget. A
-            replica's cost includes the penalty times the expected ratio of
-            bad answers.
-    """
-
-    cost_exponent: float
-    cross_domain_penalty_s: float = _CROSS_DOMAIN_PENALTY_S
-    bad_answer_penalty_s: float = 0.0
-
-
-Policy = TwoChoices | WeightedRandom
+TwoChoices = replica_policies.TwoChoices
+WeightedRandom = replica_policies.WeightedRandom
+Policy = replica_policies.Policy
 
 
 @attrs.frozen
@@ -376,7 +344,7 @@
             ):
                 pass
             case TwoChoices():
-                cross_domain_penalty_s = _CROSS_DOMAIN_PENALTY_S
+                cross_domain_penalty_s = replica_policies.CROSS_DOMAIN_PENALTY_S
         # The expected latency decays without new latencies, but not below the
         # lowest latency of the candidates: a target that answers nothing must
         # not appear fast.
--- a/packages/gateway/src/cassiahead_gateway/forwarding.py
+++ b/packages/gateway/src/cassiahead_gateway/forwarding.py
@@ -56,7 +56,7 @@
             self._check_completion,
         )
         call.start(
-            self._gateway_state.examine_targets(
+            self._gateway_state.target_selector.examine(
                 self._service, self._allowed_regions
             )
         )
--- a/packages/gateway/src/cassiahead_gateway/gateway_state.py
+++ b/packages/gateway/src/cassiahead_gateway/gateway_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from typing import TYPE_CHECKING
 
@@ -22,22 +21,20 @@
 from cassiahead_gateway import catalogue as catalogue_lib
 from cassiahead_gateway import connection_table
 from cassiahead_gateway import crash_detector as crash_detector_lib
+from cassiahead_gateway import fleet_size as fleet_size_lib
 from cassiahead_gateway import metrics as metrics_lib
 from cassiahead_gateway import settings as settings_lib
+from cassiahead_gateway import target_selection
 from cassiahead_wire import clock
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
     from cassiahead_gateway import decoded_records
 
-__all__ = ["GatewayState", "ServiceTargets"]
+__all__ = ["GatewayState"]
 
 # Fraction of the fleet's bound on hedges and retries that is used, since hosts
 # know the size of the fleet only approximately.
 _EXTRA_LOAD_FRACTION = 0.85
-# Fleet size assumed until heartbeats show a larger one.
-_MIN_FLEET_SIZE = 4
 # Number of target crashes at which a request is refused.
 _CRASH_THRESHOLD = 3
 # Longest time without requests to a target that failed. Within about this time
@@ -63,31 +60,6 @@
 _LATE_HEDGE_DELAY_FRACTION = 0.35
 
 
-# Time for which the size of the fleet is kept for the limits of each request.
-_FLEET_SIZE_VALIDITY_S = 0.1
-
-
-@attrs.frozen(eq=False)
-class ServiceTargets:
-    """The targets of a service that may get a request now.
-
-    Attributes:
-        has_available: Whether a target is available: it may get the request and
-            is not ejected, with or without capacity. Targets are ejected
-            (avoided for a time) after a failure; a request need not wait for
-            them. In panic mode, in which most targets are ejected, ejections
-            are ignored.
-        has_warm_capacity: Whether a warm target that is not ejected has
-            capacity. Ejected targets do not count even in panic mode.
-        with_capacity: The targets with capacity for another request, including
-            cold and ejected ones.
-    """
-
-    has_available: bool
-    has_warm_capacity: bool
-    with_capacity: list[api.Target]
-
-
 @attrs.define(eq=False)
 class GatewayState:
     """Identity, published records and decision state of one gateway process.
@@ -101,9 +73,11 @@
         catalogue: Configuration and targets known to this process.
         freshness: Last reads of the configuration service, by all processes.
         peers: Other processes of the fleet.
+        fleet_size: Number of hosts to divide fleet-wide bounds by.
         quota: Fleet-wide token buckets of client accounts.
         connections: Connections to targets.
         replica_chooser: Chooses among the replicas of a service.
+        target_selector: Chooses targets that may get a request.
         attempt_sender: Sends attempts to targets.
         crash_detector: Detects requests that crash targets.
         cold_start_limiter: Limits requests to targets in cold start.
@@ -117,9 +91,11 @@
     catalogue: catalogue_lib.Catalogue
     freshness: record_freshness.RecordFreshness
     peers: peer_table.PeerTable
+    fleet_size: fleet_size_lib.FleetSize
     quota: fleet_quota.FleetQuota
     connections: connection_table.ConnectionTable
     replica_chooser: replicas.ReplicaChooser
+    target_selector: target_selection.TargetSelector
     attempt_sender: attempts.AttemptSender
     crash_detector: crash_detector_lib.CrashDetector
     cold_start_limiter: cold_start.ColdStartLimiter
@@ -133,8 +109,6 @@
     _traffic_split_by_route: dict[str, traffic_split.TrafficSplit] = (
         attrs.field(factory=dict)
     )
-    _recent_fleet_size: int = _MIN_FLEET_SIZE
-    _fleet_size_updated_at: float = -math.inf
 
     @classmethod
     def from_settings(
@@ -180,19 +154,32 @@
             replica_chooser.forget_target(target_id)
             cold_start_limiter.forget_target(target_id)
 
+        catalogue = catalogue_lib.Catalogue(
+            decode, on_configuration, on_target_gone
+        )
+        peers = peer_table.PeerTable(settings.peers, clock.monotonic())
+        fleet_size = fleet_size_lib.FleetSize(peers)
         return cls(
             settings=settings,
             process_name=process_name,
             started_at=clock.monotonic(),
             rng=rng,
-            catalogue=catalogue_lib.Catalogue(
-                decode, on_configuration, on_target_gone
-            ),
+            catalogue=catalogue,
             freshness=record_freshness.RecordFreshness(),
-            peers=peer_table.PeerTable(settings.peers, clock.monotonic()),
+            peers=peers,
+            fleet_size=fleet_size,
             quota=quota,
             connections=connections,
             replica_chooser=replica_chooser,
+            target_selector=target_selection.TargetSelector(
+                settings.regions,
+                catalogue,
+                peers,
+                connections,
+                replica_chooser,
+                cold_start_limiter,
+                fleet_size.recent_size,
+            ),
             attempt_sender=attempts.AttemptSender(
                 settings.headers, connections, replica_chooser, crash_detector
             ),
@@ -201,10 +188,6 @@
             metrics=metrics_lib.Metrics(),
         )
 
-    def fleet_size(self) -> int:
-        """Returns the number of hosts to divide fleet-wide bounds by."""
-        return max(_MIN_FLEET_SIZE, self.peers.fleet_size(clock.monotonic()))
-
     def confirm_records(self, now: float) -> None:
         """Updates the age of the records after reports of reads.
 
@@ -224,7 +207,7 @@
         max_credit = (
             _EXTRA_LOAD_FRACTION
             * bound.slack
-            / self._recent_size_of_fleet(clock.monotonic())
+            / self.fleet_size.recent_size(clock.monotonic())
         )
         budget = self._budget_by_service.get(service)
         if budget is None:
@@ -268,140 +251,3 @@
         return self._traffic_split_by_route.setdefault(
             route, traffic_split.TrafficSplit()
         )
-
-    def choose_target(
-        self,
-        service: str,
-        tried_target_ids: Collection[str],
-        allowed_regions: Collection[str],
-    ) -> api.Target | None:
-        """Chooses a target for the next attempt of a request.
-
-        A target in cold start is chosen only if no untried warm target has
-        capacity, and only as often as the fleet-wide limit allows. Each such
-        choice counts towards the limit.
-
-        Args:
-            service: Name of the service.
-            tried_target_ids: Ids of targets that must not be chosen, since they
-                got the request already.
-            allowed_regions: Regions whose targets may run the request; empty
-                for all.
-
-        Returns:
-            The target; None if no target can take the request now.
-        """
-        targets = self.examine_targets(service, allowed_regions)
-        return self.choose_among(targets, tried_target_ids)
-
-    def choose_among(
-        self, targets: ServiceTargets, tried_target_ids: Collection[str]
-    ) -> api.Target | None:
-        """Chooses a target like ``choose_target``, among examined targets.
-
-        Args:
-            targets: Result of ``examine_targets``, without a wait since.
-            tried_target_ids: Ids of targets that must not be chosen.
-
-        Returns:
-            The target; None if no target can take the request now.
-        """
-        untried_targets = [
-            t for t in targets.with_capacity if t.id not in tried_target_ids
-        ]
-        now = clock.monotonic()
-        warm_targets = [
-            t for t in untried_targets if not self.catalogue.is_cold(t.id, now)
-        ]
-        if warm_targets:
-            return self._choose_warm_target(warm_targets, now)
-        for target in untried_targets:
-            if self.cold_start_limiter.try_admit(
-                target.id, self.peers.rank, now
-            ):
-                return target
-        return None
-
-    def examine_targets(
-        self, service: str, allowed_regions: Collection[str]
-    ) -> ServiceTargets:
-        """Examines each target of a service once.
-
-        Args:
-            service: Name of the service.
-            allowed_regions: Regions whose targets may run the request; empty
-                for all.
-        """
-        now = clock.monotonic()
-        router = self.catalogue.router
-        service_settings = router and router.configuration.services.get(service)
-        fleet_size = self._recent_size_of_fleet(now)
-        host_connection_limit = (
-            connection_table.connection_limit(
-                service_settings.max_connections, fleet_size
-            )
-            if service_settings
-            else 0
-        )
-        permitted_targets = self._permitted_targets(service, allowed_regions)
-        not_ejected_ids = {
-            t.id
-            for t in permitted_targets
-            if not self.replica_chooser.is_ejected(t.id, now)
-        }
-        with_capacity = [
-            target
-            for target in permitted_targets
-            if host_connection_limit
-            and self.connections.has_capacity(
-                target.id,
-                min(
-                    host_connection_limit,
-                    connection_table.request_limit(target.slots, fleet_size),
-                ),
-            )
-        ]
-        return ServiceTargets(
-            bool(not_ejected_ids)
-            or (
-                bool(permitted_targets)
-                and self.replica_chooser.is_in_panic_mode(now)
-            ),
-            any(
-                t.id in not_ejected_ids
-                and not self.catalogue.is_cold(t.id, now)
-                for t in with_capacity
-            ),
-            with_capacity,
-        )
-
-    def _recent_size_of_fleet(self, now: float) -> int:
-        """Returns ``fleet_size`` as of a short time ago.
-
-        The size changes rarely, and each search needs it for every shard.
-        """
-        if now - self._fleet_size_updated_at >= _FLEET_SIZE_VALIDITY_S:
-            self._fleet_size_updated_at = now
-            self._recent_fleet_size = self.fleet_size()
-        return self._recent_fleet_size
-
-    def _permitted_targets(
-        self, service: str, allowed_regions: Collection[str]
-    ) -> list[api.Target]:
-        """Returns the usable targets of a service in the allowed regions."""
-        region_by_domain = self.settings.regions
-        return [
-            target
-            for target in self.catalogue.usable_targets(service)
-            if not allowed_regions
-            or region_by_domain.get(target.failure_domain) in allowed_regions
-        ]
-
-    def _choose_warm_target(
-        self, warm_targets: list[api.Target], now: float
-    ) -> api.Target:
-        target_by_id = {t.id: t for t in warm_targets}
-        domain_by_id = {t.id: t.failure_domain for t in warm_targets}
-        chosen_id = self.replica_chooser.choose_among(domain_by_id, now)
-        assert chosen_id is not None
-        return target_by_id[chosen_id]
--- a/packages/gateway/src/cassiahead_gateway/scatter_gather.py
+++ b/packages/gateway/src/cassiahead_gateway/scatter_gather.py
@@ -20,6 +20,7 @@
 from cassiahead_gateway import http_server
 from cassiahead_gateway import request_operation
 from cassiahead_gateway import service_call
+from cassiahead_gateway import target_selection
 from cassiahead_wire import clock
 
 __all__ = ["ScatterGather"]
@@ -121,15 +122,17 @@
             len(self._scatter.shards), self._scatter.min_coverage
         )
 
-    def _examine_shards(self) -> list[gateway_state_lib.ServiceTargets]:
+    def _examine_shards(self) -> list[target_selection.ServiceTargets]:
         """Examines the targets of each shard once, in the order of shards."""
         return [
-            self._gateway_state.examine_targets(shard, self._allowed_regions)
+            self._gateway_state.target_selector.examine(
+                shard, self._allowed_regions
+            )
             for shard in self._scatter.shards
         ]
 
     def _check_availability(
-        self, targets_of_shards: list[gateway_state_lib.ServiceTargets]
+        self, targets_of_shards: list[target_selection.ServiceTargets]
     ) -> None:
         """Checks that enough shards have an available target.
 
@@ -155,8 +158,8 @@
         )
 
     async def _wait_for_capacity(
-        self, targets_of_shards: list[gateway_state_lib.ServiceTargets]
-    ) -> list[gateway_state_lib.ServiceTargets]:
+        self, targets_of_shards: list[target_selection.ServiceTargets]
+    ) -> list[target_selection.ServiceTargets]:
         """Waits until the required number of shards have capacity.
 
         A search that started with too few shards would fail in the end, and
@@ -193,7 +196,7 @@
         return targets_of_shards
 
     def _saturated_shards(
-        self, targets_of_shards: list[gateway_state_lib.ServiceTargets]
+        self, targets_of_shards: list[target_selection.ServiceTargets]
     ) -> list[str]:
         """Returns the shards without a warm, available target with capacity."""
         return [
--- a/packages/gateway/src/cassiahead_gateway/service_call.py
+++ b/packages/gateway/src/cassiahead_gateway/service_call.py
@@ -10,6 +10,7 @@
 from cassiahead_gateway import api
 from cassiahead_gateway import attempts
 from cassiahead_gateway import gateway_state as gateway_state_lib
+from cassiahead_gateway import target_selection
 from cassiahead_telemetry import events
 from cassiahead_wire import clock
 
@@ -87,7 +88,7 @@
         """Whether bytes of a response, or a close, wait to be handled."""
         return any(a.is_answer_arriving for a in self._attempts_in_flight)
 
-    def start(self, targets: gateway_state_lib.ServiceTargets) -> None:
+    def start(self, targets: target_selection.ServiceTargets) -> None:
         """Makes the first attempt, or waits if no target has capacity.
 
         Args:
@@ -133,7 +134,7 @@
         """
         if not self.can_hedge(kept_fraction):
             return
-        target = self._gateway_state.choose_target(
+        target = self._gateway_state.target_selector.choose(
             self.service, self._tried_target_ids, self._allowed_regions
         )
         budget = self._gateway_state.budget_for(self.service)
@@ -147,13 +148,13 @@
             attempt.cancel()
         self._attempts_in_flight.clear()
 
-    def _examine_targets(self) -> gateway_state_lib.ServiceTargets:
-        return self._gateway_state.examine_targets(
+    def _examine_targets(self) -> target_selection.ServiceTargets:
+        return self._gateway_state.target_selector.examine(
             self.service, self._allowed_regions
         )
 
     def _try_pending_attempt(
-        self, targets: gateway_state_lib.ServiceTargets
+        self, targets: target_selection.ServiceTargets
     ) -> None:
         if self._is_wait_over(targets, clock.monotonic()):
             self.has_failed = True
@@ -163,7 +164,7 @@
         )
 
     def _is_wait_over(
-        self, targets: gateway_state_lib.ServiceTargets, now: float
+        self, targets: target_selection.ServiceTargets, now: float
     ) -> bool:
         """Returns whether the wait for capacity must end.
 
@@ -187,17 +188,17 @@
         )
 
     def _start_attempt(
-        self, targets: gateway_state_lib.ServiceTargets, cause: Cause
+        self, targets: target_selection.ServiceTargets, cause: Cause
     ) -> None:
-        gateway_state = self._gateway_state
-        target = gateway_state.choose_among(targets, self._tried_target_ids)
+        selector = self._gateway_state.target_selector
+        target = selector.choose_among(targets, self._tried_target_ids)
         # Only an idempotent request may be sent to the same target again.
         if (
             target is None
             and self._tried_target_ids
             and self._route.is_idempotent
         ):
-            target = gateway_state.choose_among(targets, ())
+            target = selector.choose_among(targets, ())
         if target is not None:
             self._send_attempt(target, cause)
 
--- /dev/null
+++ b/packages/gateway/src/cassiahead_gateway/target_selection.py
@@ -0,0 +1,187 @@
+"""Chooses targets that may get a request now.
+
+Load pattern: many requests at once, of which each target may get only as many
+as this host's share of its connections and slots allows, while some targets are
+cold or ejected.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from cassiahead_decisions import cold_start
+from cassiahead_decisions import peer_table
+from cassiahead_decisions import replicas
+from cassiahead_gateway import api
+from cassiahead_gateway import catalogue as catalogue_lib
+from cassiahead_gateway import connection_table
+from cassiahead_wire import clock
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+__all__ = ["ServiceTargets", "TargetSelector"]
+
+
+@attrs.frozen(eq=False)
+class ServiceTargets:
+    """The targets of a service that may get a request now.
+
+    Attributes:
+        has_available: Whether a target is available: it may get the request and
+            is not ejected, with or without capacity. Targets are ejected
+            (avoided for a time) after a failure; a request need not wait for
+            them. In panic mode, in which most targets are ejected, ejections
+            are ignored.
+        has_warm_capacity: Whether a warm target that is not ejected has
+            capacity. Ejected targets do not count even in panic mode.
+        with_capacity: The targets with capacity for another request, including
+            cold and ejected ones.
+    """
+
+    has_available: bool
+    has_warm_capacity: bool
+    with_capacity: list[api.Target]
+
+
+@attrs.define(eq=False)
+class TargetSelector:
+    """Chooses among the targets of a service."""
+
+    _region_by_domain: dict[str, str]
+    _catalogue: catalogue_lib.Catalogue
+    _peers: peer_table.PeerTable
+    _connections: connection_table.ConnectionTable
+    _replica_chooser: replicas.ReplicaChooser
+    _cold_start_limiter: cold_start.ColdStartLimiter
+    _fleet_size: Callable[[float], int]
+
+    def choose(
+        self,
+        service: str,
+        tried_target_ids: Collection[str],
+        allowed_regions: Collection[str],
+    ) -> api.Target | None:
+        """Chooses a target for the next attempt of a request.
+
+        A target in cold start is chosen only if no untried warm target has
+        capacity, and only as often as the fleet-wide limit allows. Each such
+        choice counts towards the limit.
+
+        Args:
+            service: Name of the service.
+            tried_target_ids: Ids of targets that must not be chosen, since they
+                got the request already.
+            allowed_regions: Regions whose targets may run the request; empty
+                for all.
+
+        Returns:
+            The target; None if no target can take the request now.
+        """
+        targets = self.examine(service, allowed_regions)
+        return self.choose_among(targets, tried_target_ids)
+
+    def choose_among(
+        self, targets: ServiceTargets, tried_target_ids: Collection[str]
+    ) -> api.Target | None:
+        """Chooses a target like ``choose``, among examined targets.
+
+        Args:
+            targets: Result of ``examine``, without a wait since.
+            tried_target_ids: Ids of targets that must not be chosen.
+
+        Returns:
+            The target; None if no target can take the request now.
+        """
+        untried_targets = [
+            t for t in targets.with_capacity if t.id not in tried_target_ids
+        ]
+        now = clock.monotonic()
+        warm_targets = [
+            t for t in untried_targets if not self._catalogue.is_cold(t.id, now)
+        ]
+        if warm_targets:
+            return self._choose_warm_target(warm_targets, now)
+        for target in untried_targets:
+            if self._cold_start_limiter.try_admit(
+                target.id, self._peers.rank, now
+            ):
+                return target
+        return None
+
+    def examine(
+        self, service: str, allowed_regions: Collection[str]
+    ) -> ServiceTargets:
+        """Examines each target of a service once.
+
+        Args:
+            service: Name of the service.
+            allowed_regions: Regions whose targets may run the request; empty
+                for all.
+        """
+        now = clock.monotonic()
+        router = self._catalogue.router
+        service_settings = router and router.configuration.services.get(service)
+        fleet_size = self._fleet_size(now)
+        host_connection_limit = (
+            connection_table.connection_limit(
+                service_settings.max_connections, fleet_size
+            )
+            if service_settings
+            else 0
+        )
+        permitted_targets = self._permitted_targets(service, allowed_regions)
+        not_ejected_ids = {
+            t.id
+            for t in permitted_targets
+            if not self._replica_chooser.is_ejected(t.id, now)
+        }
+        with_capacity = [
+            target
+            for target in permitted_targets
+            if host_connection_limit
+            and self._connections.has_capacity(
+                target.id,
+                min(
+                    host_connection_limit,
+                    connection_table.request_limit(target.slots, fleet_size),
+                ),
+            )
+        ]
+        return ServiceTargets(
+            bool(not_ejected_ids)
+            or (
+                bool(permitted_targets)
+                and self._replica_chooser.is_in_panic_mode(now)
+            ),
+            any(
+                t.id in not_ejected_ids
+                and not self._catalogue.is_cold(t.id, now)
+                for t in with_capacity
+            ),
+            with_capacity,
+        )
+
+    def _permitted_targets(
+        self, service: str, allowed_regions: Collection[str]
+    ) -> list[api.Target]:
+        """Returns the usable targets of a service in the allowed regions."""
+        region_by_domain = self._region_by_domain
+        return [
+            target
+            for target in self._catalogue.usable_targets(service)
+            if not allowed_regions
+            or region_by_domain.get(target.failure_domain) in allowed_regions
+        ]
+
+    def _choose_warm_target(
+        self, warm_targets: list[api.Target], now: float
+    ) -> api.Target:
+        target_by_id = {t.id: t for t in warm_targets}
+        domain_by_id = {t.id: t.failure_domain for t in warm_targets}
+        chosen_id = self._replica_chooser.choose_among(domain_by_id, now)
+        assert chosen_id is not None
+        return target_by_id[chosen_id]
