Tell the fleet which targets are slow

Change: TargetSightings adds up, by group like admissions, which targets were seen to be slow by at least three hosts over 0.4 s without a good answer in between; hosts avoid these, and ask again at times that differ. Hosts tell only while a good part of their answers is slow. Tests replay the onset, pauses, recovery, a bad link and many relays.

--- a/packages/decisions/src/cassiahead_decisions/hedging.py
+++ b/packages/decisions/src/cassiahead_decisions/hedging.py
@@ -38,6 +38,7 @@
     )
     _hedge_delay_s: float = _INITIAL_HEDGE_DELAY_S
     _new_sample_count: int = 0
+    _median_s: float | None = None
 
     def record(self, latency_s: float) -> None:
         """Adds one latency.
@@ -56,6 +57,11 @@
         """Seconds after which an answer is presumed lost."""
         return _OVERDUE_DELAY_RATIO * self._hedge_delay_s
 
+    @property
+    def median_s(self) -> float | None:
+        """Median of the latencies; None until there are enough of them."""
+        return self._median_s
+
     @property
     def hedge_delay_s(self) -> float:
         """Seconds to wait for an answer before a second replica is asked."""
@@ -65,6 +71,7 @@
         if len(self._latencies_s) < _MIN_SAMPLE_COUNT:
             return
         sorted_latencies_s = sorted(self._latencies_s)
+        self._median_s = sorted_latencies_s[len(sorted_latencies_s) // 2]
         self._hedge_delay_s = max(
             _MIN_HEDGE_DELAY_S,
             sorted_latencies_s[
--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -35,6 +35,9 @@
 _MAX_EJECTION_S = 20.0
 # Added to the cost of an ejected replica, in seconds of latency.
 _EJECTED_PENALTY_S = 1.0
+# Added to the cost of a replica that the fleet has seen to be slow, in seconds
+# of latency: it is chosen only if all others are worse.
+_SLOW_TARGET_PENALTY_S = 0.5
 # Shortest time between two requests to a target that has not answered since it
 # failed: long enough for a request and its late answer.
 _PROBE_INTERVAL_S = 0.5
@@ -140,13 +143,17 @@
         return self.choose_among(domain_by_target, now)
 
     def choose_among(
-        self, domain_by_target: Mapping[str, str], now: float
+        self,
+        domain_by_target: Mapping[str, str],
+        now: float,
+        slow_targets: Collection[str] = (),
     ) -> str | None:
         """Returns the replica to send a request to, according to the policy.
 
         Args:
             domain_by_target: Failure domain of each replica to choose from.
             now: Current time.
+            slow_targets: Replicas that the fleet has seen to be slow.
 
         Returns:
             The replica, or None if there are none to choose from.
@@ -159,7 +166,14 @@
         if not in_panic_mode:
             not_ejected = [c for c in candidates if not c.stats.is_ejected(now)]
             candidates = not_ejected or candidates
-        costs_s = self._costs_s(candidates, in_panic_mode, now)
+        costs_s = [
+            cost_s + _SLOW_TARGET_PENALTY_S * (candidate.target in slow_targets)
+            for candidate, cost_s in zip(
+                candidates,
+                self._costs_s(candidates, in_panic_mode, now),
+                strict=True,
+            )
+        ]
         match self._policy:
             case TwoChoices():
                 drawn = self._rng.sample(
--- a/packages/decisions/src/cassiahead_decisions/reported_counts.py
+++ b/packages/decisions/src/cassiahead_decisions/reported_counts.py
@@ -14,20 +14,37 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["CountReport", "ReportedCounts"]
+__all__ = ["ReportNumbers", "ReportedCounts"]
 
 
-@attrs.frozen
-class CountReport:
-    """Counts for one peer.
+@attrs.define
+class ReportNumbers:
+    """Numbers of the reports to one peer, and its acknowledgements.
 
     Attributes:
-        number: Number of the report, which the peer acknowledges.
-        counts: Cumulative counts by account, as far as the peer may lack them.
+        last: Number of the last report. The numbers begin after a random one,
+            so that an acknowledgement of a report of the previous process at
+            the same address matches no report.
+        acknowledged: Highest number that the peer has acknowledged.
     """
 
-    number: int
-    counts: dict[str, int]
+    last: int
+    acknowledged: int = attrs.field(init=False)
+    _first: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts without an acknowledged report."""
+        self.acknowledged = self._first = self.last
+
+    def advance(self) -> int:
+        """Begins the next report; returns its number."""
+        self.last += 1
+        return self.last
+
+    def acknowledge(self, number: int) -> None:
+        """Records the highest number of a report that the peer has applied."""
+        if self._first < number <= self.last:
+            self.acknowledged = max(self.acknowledged, number)
 
 
 @attrs.define
@@ -45,46 +62,31 @@
 
 @attrs.define
 class ReportedCounts:
-    """The cumulative counts that one peer has been told.
+    """Counts that only rise, as far as one peer has been told.
 
     A changed count is in each report until the peer acknowledges one that
     contains the change, so that reports may be lost or overtake each other.
-
-    Attributes:
-        last_number: Number of the last report. The numbers begin after a random
-            one, so that an acknowledgement of a report of the previous process
-            at the same address matches no report.
     """
 
-    last_number: int
-    _acknowledged_number: int = attrs.field(init=False)
-    _first_number: int = attrs.field(init=False)
+    _numbers: ReportNumbers
     _changes: dict[str, _Change] = attrs.field(factory=dict)
 
-    def __attrs_post_init__(self) -> None:
-        """Starts without an acknowledged report."""
-        self._acknowledged_number = self._first_number = self.last_number
-
-    def report(self, counts: Mapping[str, int], is_full: bool) -> CountReport:
-        """Returns the next report.
+    def lacking(
+        self, counts: Mapping[str, int], is_full: bool
+    ) -> dict[str, int]:
+        """Returns the counts for the report that was begun last.
 
         Args:
-            counts: All counts, or those that may have changed.
+            counts: All counts by name, or those that may have changed.
             is_full: Whether the report must contain all of them, since the peer
                 has lost what it was told.
         """
-        self.last_number += 1
         lacking_counts: dict[str, int] = {}
-        for account, count in counts.items():
-            change = self._changes.get(account)
+        for name, count in counts.items():
+            change = self._changes.get(name)
             if change is None or count > change.count:
-                change = _Change(count, self.last_number)
-                self._changes[account] = change
-            if is_full or change.report_number > self._acknowledged_number:
-                lacking_counts[account] = count
-        return CountReport(self.last_number, lacking_counts)
-
-    def acknowledge(self, number: int) -> None:
-        """Records the highest number of a report that the peer has applied."""
-        if self._first_number < number <= self.last_number:
-            self._acknowledged_number = max(self._acknowledged_number, number)
+                change = _Change(count, self._numbers.last)
+                self._changes[name] = change
+            if is_full or change.report_number > self._numbers.acknowledged:
+                lacking_counts[name] = count
+        return lacking_counts
--- a/packages/decisions/tests/test_reported_counts.py
+++ b/packages/decisions/tests/test_reported_counts.py
@@ -7,60 +7,78 @@
 from cassiahead_decisions import reported_counts
 
 
+def _report(
+    reported: reported_counts.ReportedCounts,
+    numbers: reported_counts.ReportNumbers,
+    counts: dict[str, int],
+    is_full: bool = False,
+) -> dict[str, int]:
+    numbers.advance()
+    return reported.lacking(counts, is_full)
+
+
 def test_acknowledged_counts_are_left_out() -> None:
-    reported = reported_counts.ReportedCounts(100)
-    report = reported.report({"a": 1, "b": 2}, False)
-    assert report.counts == {"a": 1, "b": 2}
-    reported.acknowledge(report.number)
-    assert reported.report({"a": 1, "b": 2}, False).counts == {}
-    assert reported.report({"a": 1, "b": 3}, False).counts == {"b": 3}
+    numbers = reported_counts.ReportNumbers(100)
+    reported = reported_counts.ReportedCounts(numbers)
+    assert _report(reported, numbers, {"a": 1, "b": 2}) == {"a": 1, "b": 2}
+    numbers.acknowledge(numbers.last)
+    assert _report(reported, numbers, {"a": 1, "b": 2}) == {}
+    assert _report(reported, numbers, {"a": 1, "b": 3}) == {"b": 3}
 
 
 def test_change_is_repeated_until_a_report_with_it_is_acknowledged() -> None:
-    reported = reported_counts.ReportedCounts(0)
-    first = reported.report({"a": 1}, False)
-    second = reported.report({"a": 2}, False)
-    reported.acknowledge(first.number)
-    assert reported.report({"a": 2}, False).counts == {"a": 2}
-    reported.acknowledge(second.number)
-    assert reported.report({"a": 2}, False).counts == {}
+    numbers = reported_counts.ReportNumbers(0)
+    reported = reported_counts.ReportedCounts(numbers)
+    _report(reported, numbers, {"a": 1})
+    first_number = numbers.last
+    _report(reported, numbers, {"a": 2})
+    second_number = numbers.last
+    numbers.acknowledge(first_number)
+    assert _report(reported, numbers, {"a": 2}) == {"a": 2}
+    numbers.acknowledge(second_number)
+    assert _report(reported, numbers, {"a": 2}) == {}
 
 
 def test_full_report_has_all_counts() -> None:
-    reported = reported_counts.ReportedCounts(0)
-    reported.acknowledge(reported.report({"a": 1}, False).number)
-    assert reported.report({"a": 1}, True).counts == {"a": 1}
+    numbers = reported_counts.ReportNumbers(0)
+    reported = reported_counts.ReportedCounts(numbers)
+    _report(reported, numbers, {"a": 1})
+    numbers.acknowledge(numbers.last)
+    assert _report(reported, numbers, {"a": 1}, is_full=True) == {"a": 1}
 
 
 def test_acknowledgement_of_a_previous_process_is_ignored() -> None:
-    reported = reported_counts.ReportedCounts(1000)
-    report = reported.report({"a": 1}, False)
-    for number in (3, 1000, report.number + 1):
-        reported.acknowledge(number)
-    assert reported.report({"a": 1}, False).counts == {"a": 1}
+    numbers = reported_counts.ReportNumbers(1000)
+    reported = reported_counts.ReportedCounts(numbers)
+    _report(reported, numbers, {"a": 1})
+    for number in (3, 1000, numbers.last + 1):
+        numbers.acknowledge(number)
+    assert _report(reported, numbers, {"a": 1}) == {"a": 1}
 
 
 def test_peer_gets_each_change_over_links_that_lose_and_reorder() -> None:
     for seed in range(30):
         rng = random.Random(seed)
-        reported = reported_counts.ReportedCounts(rng.getrandbits(40))
+        numbers = reported_counts.ReportNumbers(rng.getrandbits(40))
+        reported = reported_counts.ReportedCounts(numbers)
         counts = {f"a{n}": 0 for n in range(20)}
         known_counts = dict.fromkeys(counts, 0)
-        in_transit: list[reported_counts.CountReport] = []
+        in_transit: list[tuple[int, dict[str, int]]] = []
         applied_number = 0
         for step in range(300):
             if step < 250:
                 counts[rng.choice(list(counts))] += 1
-            in_transit.append(reported.report(counts, False))
+            report = _report(reported, numbers, counts)
+            in_transit.append((numbers.last, report))
             rng.shuffle(in_transit)
             is_lossy = step < 280
             while in_transit and (not is_lossy or rng.random() < 0.6):
-                report = in_transit.pop()
+                number, reported_now = in_transit.pop()
                 if is_lossy and rng.random() < 0.3:
                     continue
-                for account, count in report.counts.items():
+                for account, count in reported_now.items():
                     known_counts[account] = max(known_counts[account], count)
-                applied_number = max(applied_number, report.number)
+                applied_number = max(applied_number, number)
                 if rng.random() < 0.7:
-                    reported.acknowledge(applied_number)
+                    numbers.acknowledge(applied_number)
         assert known_counts == counts
--- /dev/null
+++ b/packages/decisions/tests/test_target_sightings.py
@@ -0,0 +1,260 @@
+"""A large fleet finds the slow targets together, in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+import attrs
+import pytest
+
+from cassiahead_decisions import peer_table
+from cassiahead_decisions import replica_policies
+from cassiahead_decisions import replicas
+from cassiahead_decisions import target_sightings
+
+_SHARD_COUNT = 20
+_REPLICA_COUNT = 3
+_SEARCHES_PER_S = 50.0
+_REPORT_INTERVAL_S = 0.46
+_LINK_DELAY_S = 0.01
+_WORK_S = 0.022
+_SLOW_WORK_S = 0.088
+_PAUSE_S = 0.15
+_PAUSE_INTERVAL_S = 3.6
+_SLOW_LATENCY_S = 2.5 * _WORK_S
+_GOOD_LATENCY_S = 1.5 * _WORK_S
+_SIGHTING_BYTES = 90
+_MAX_CONTROL_BYTES_PER_S = 5000
+
+
+@attrs.define
+class _Host:
+    chooser: replicas.ReplicaChooser
+    sightings: target_sightings.TargetSightings
+    peers: peer_table.PeerTable
+
+
+@attrs.define
+class _Fleet:
+    """Hosts that search over replicas, some of which turn slow.
+
+    Attributes:
+        sent_at: Times of the requests to slow targets.
+        told_count: Number of sightings that partners were told.
+    """
+
+    rng: random.Random
+    is_sharing: bool
+    hosts: dict[str, _Host] = attrs.field(factory=dict)
+    slow_targets: set[str] = attrs.field(factory=set)
+    cut_hosts: set[str] = attrs.field(factory=set)
+    pause_offsets: dict[str, float] = attrs.field(factory=dict)
+    now: float = 100.0
+    sent_at: list[float] = attrs.field(factory=list)
+    told_count: int = 0
+    _versions: dict[tuple[str, str], dict[str, int]] = attrs.field(factory=dict)
+    _events: list[tuple[float, int, object]] = attrs.field(factory=list)
+    _event_count: int = 0
+
+    @classmethod
+    def create(cls, seed: int, host_count: int, is_sharing: bool) -> _Fleet:
+        rng = random.Random(seed)
+        fleet = cls(rng, is_sharing)
+        addresses = [f"10.0.{n // 200}.{n % 200}:1" for n in range(host_count)]
+        for address in addresses:
+            peers = peer_table.PeerTable(address)
+            for other in addresses:
+                peers.add_address(other)
+            chooser = replicas.ReplicaChooser(
+                "d0",
+                random.Random(rng.random()),
+                4.0,
+                replica_policies.WeightedRandom(8.0, 0.006, 0.1),
+            )
+            sightings = target_sightings.TargetSightings(
+                random.Random(rng.random())
+            )
+            fleet.hosts[address] = _Host(chooser, sightings, peers)
+            fleet._schedule(
+                fleet.now + rng.random() * _REPORT_INTERVAL_S,
+                lambda a=address: fleet._report(a),
+            )
+        for shard in range(_SHARD_COUNT):
+            for target in _replicas(shard):
+                fleet.pause_offsets[target] = rng.uniform(0, _PAUSE_INTERVAL_S)
+        fleet._schedule(fleet.now, fleet._search)
+        return fleet
+
+    def run(self, duration_s: float) -> None:
+        ends_at = self.now + duration_s
+        while self._events[0][0] < ends_at:
+            self.now, _, action = heapq.heappop(self._events)
+            action()  # type: ignore[operator]
+        self.now = ends_at
+
+    def avoiding_hosts(self, target: str) -> int:
+        return sum(
+            host.sightings.is_slow(target, self.now)
+            for host in self.hosts.values()
+        )
+
+    def _schedule(self, at: float, action: object) -> None:
+        self._event_count += 1
+        heapq.heappush(self._events, (at, self._event_count, action))
+
+    def _search(self) -> None:
+        self._schedule(
+            self.now + self.rng.expovariate(_SEARCHES_PER_S), self._search
+        )
+        address = self.rng.choice(list(self.hosts))
+        for shard in range(_SHARD_COUNT):
+            self._send(address, shard)
+
+    def _send(self, address: str, shard: int) -> None:
+        host = self.hosts[address]
+        names = _replicas(shard)
+        slow_names = {
+            name
+            for name in names
+            if self.is_sharing and host.sightings.is_slow(name, self.now)
+        }
+        target = host.chooser.choose_among(
+            dict.fromkeys(names, "d0"), self.now, slow_names
+        )
+        assert target is not None
+        host.chooser.record_sent(target, self.now)
+        if target in self.slow_targets:
+            self.sent_at.append(self.now)
+        latency_s = self._latency_s(address, target)
+        self._schedule(
+            self.now + latency_s,
+            lambda: self._receive(address, target, latency_s),
+        )
+
+    def _latency_s(self, address: str, target: str) -> float:
+        work_s = _SLOW_WORK_S if target in self.slow_targets else _WORK_S
+        if address in self.cut_hosts:
+            work_s += _SLOW_WORK_S
+        since_pause_s = (
+            self.now - self.pause_offsets[target]
+        ) % _PAUSE_INTERVAL_S
+        pause_s = max(0.0, _PAUSE_S - since_pause_s)
+        return pause_s + work_s * self.rng.uniform(0.8, 1.3)
+
+    def _receive(self, address: str, target: str, latency_s: float) -> None:
+        host = self.hosts[address]
+        host.chooser.record_answer(target, latency_s, self.now)
+        if latency_s > _SLOW_LATENCY_S:
+            host.sightings.record_slow(target, self.now)
+        elif latency_s < _GOOD_LATENCY_S:
+            host.sightings.record_good(target, self.now)
+
+    def _report(self, address: str) -> None:
+        self._schedule(
+            self.now + _REPORT_INTERVAL_S, lambda: self._report(address)
+        )
+        host = self.hosts[address]
+        host.sightings.forget_expired(self.now)
+        # The reply brings the partner's sightings.
+        for partner in host.peers.partners().values():
+            self._tell(partner, address)
+
+    def _tell(self, sender: str, receiver: str) -> None:
+        host = self.hosts[sender]
+        group = host.peers.group_of(receiver)
+        told = self._versions.setdefault((sender, receiver), {})
+        versions = host.sightings.versions(group, self.now)
+        lacking = [t for t, v in versions.items() if v > told.get(t, -1)]
+        told.update(versions)
+        reports = host.sightings.reports(lacking, group, self.now)
+        self.told_count += len(reports)
+        receiver_host = self.hosts[receiver]
+        receiver_group = receiver_host.peers.group_of(sender)
+        self._schedule(
+            self.now + _LINK_DELAY_S,
+            lambda: receiver_host.sightings.merge(
+                receiver_group, reports, self.now
+            ),
+        )
+
+
+def _replicas(shard: int) -> list[str]:
+    return [f"t{shard}-{number}" for number in range(_REPLICA_COUNT)]
+
+
+def _slow_sends(host_count: int, seed: int, is_sharing: bool) -> int:
+    """Returns the requests to slow targets from 1.5 s after they turn slow."""
+    fleet = _Fleet.create(seed, host_count, is_sharing)
+    fleet.run(5.0)
+    fleet.slow_targets = {f"t{shard}-0" for shard in range(0, 20, 2)}
+    since = fleet.now + 1.5
+    fleet.run(7.0)
+    return sum(1 for at in fleet.sent_at if at >= since)
+
+
+@pytest.mark.parametrize("host_count", [8, 64])
+def test_fleet_avoids_targets_that_turn_slow(host_count: int) -> None:
+    # Each host found out by itself, and asked each slow target for that.
+    alone_count = _slow_sends(host_count, 1, False)
+    shared_count = _slow_sends(host_count, 1, True)
+    assert shared_count < 0.25 * alone_count
+
+
+def test_pauses_of_targets_are_not_told_in_calm() -> None:
+    fleet = _Fleet.create(2, 64, True)
+    fleet.run(10.0)
+    told_bytes_per_s = fleet.told_count * _SIGHTING_BYTES / 64 / 10.0
+    assert told_bytes_per_s < 0.1 * _MAX_CONTROL_BYTES_PER_S
+    for target in fleet.pause_offsets:
+        assert fleet.avoiding_hosts(target) == 0
+
+
+def test_targets_are_used_again_once_they_are_fast() -> None:
+    fleet = _Fleet.create(3, 64, True)
+    fleet.run(5.0)
+    fleet.slow_targets = {f"t{shard}-0" for shard in range(0, 20, 2)}
+    fleet.run(6.0)
+    assert fleet.avoiding_hosts("t0-0") > 45
+    fleet.slow_targets = set()
+    fleet.run(10.0)
+    assert sum(fleet.avoiding_hosts(t) for t in fleet.pause_offsets) < 64
+
+
+def test_host_with_a_bad_link_does_not_mislead_the_others() -> None:
+    fleet = _Fleet.create(4, 64, True)
+    fleet.run(3.0)
+    bad_host = next(iter(fleet.hosts))
+    fleet.cut_hosts = {bad_host}
+    avoided_counts = []
+    for _ in range(16):
+        fleet.run(0.5)
+        avoided_counts.append(
+            sum(fleet.avoiding_hosts(target) for target in fleet.pause_offsets)
+        )
+    # A pause of a target that the host has told of may look like a second
+    # witness, until the next good answer.
+    mean_count = sum(avoided_counts) / len(avoided_counts)
+    assert mean_count < 0.01 * 64 * len(fleet.pause_offsets)
+
+
+def test_sighting_does_not_look_newer_after_many_relays() -> None:
+    fleet = _Fleet.create(5, 16, True)
+    address = next(iter(fleet.hosts))
+    sightings = fleet.hosts[address].sightings
+    for _ in range(40):
+        sightings.record_slow("t0-0", 100.0)
+    other = next(a for a in fleet.hosts if a != address)
+    for _ in range(40):
+        fleet.hosts[other].sightings.record_slow("t0-0", 100.5)
+    for _ in range(80):
+        for host in list(fleet.hosts):
+            for partner in fleet.hosts[host].peers.partners().values():
+                fleet._tell(partner, host)
+        fleet.now += 0.1
+        while fleet._events and fleet._events[0][0] <= fleet.now:
+            _, _, action = heapq.heappop(fleet._events)
+            if getattr(action, "__name__", "") == "<lambda>":
+                action()  # type: ignore[operator]
+    # The last slow answer is 8 s old, more than any host avoids a target.
+    assert fleet.avoiding_hosts("t0-0") == 0
--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -8,25 +8,29 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
-from tornado import httputil
 
 from cassiahead_decisions import replicas
 from cassiahead_gateway import api
 from cassiahead_gateway import connection_table
 from cassiahead_gateway import crash_detector
 from cassiahead_gateway import headers as headers_lib
+from cassiahead_gateway import outgoing_request
+from cassiahead_gateway import target_observer
 from cassiahead_wire import clock
 from cassiahead_wire import connection as connection_lib
 
+if TYPE_CHECKING:
+    from tornado import httputil
+
 __all__ = [
     "Answered",
     "Attempt",
     "OutcomeUnknown",
     "NotRun",
     "AttemptOutcome",
-    "OutgoingRequest",
     "AttemptSender",
 ]
 
@@ -34,36 +38,6 @@
 _MIN_SERVER_ERROR_STATUS = 500
 
 
-@attrs.frozen(eq=False)
-class OutgoingRequest:
-    """A request to send to targets.
-
-    Each attempt sets the headers for the remaining time and the expected
-    target.
-
-    Attributes:
-        request_id: Identifier that the caller gave to the request; all attempts
-            of the gateway carry the same one.
-        method: HTTP method.
-        path: Path with query, as the caller sent it.
-        headers: Headers of the request. The ones that differ by attempt are
-            replaced just before each attempt is sent.
-        body: Request body.
-        deadline: When the caller stops waiting, in seconds on this process's
-            monotonic clock.
-        fingerprint: Digest of the client account, host, path and body; equal
-            for all repetitions of a request by its caller.
-    """
-
-    request_id: str
-    method: str
-    path: str
-    headers: httputil.HTTPHeaders
-    body: bytes
-    deadline: float
-    fingerprint: str
-
-
 @attrs.frozen(eq=False)
 class Answered:
     """The target sent a complete response, of any status.
@@ -122,7 +96,7 @@
 
     _sender: AttemptSender
     target: api.Target
-    _request: OutgoingRequest
+    _request: outgoing_request.OutgoingRequest
     started_at: float
     _checkout: connection_table.Checkout
     _on_outcome: Callable[[Attempt, AttemptOutcome], None]
@@ -153,7 +127,7 @@
             return
         self._is_ended = True
         self._sender.record_abandoned(
-            self.target, self._checkout, self.started_at
+            self.target, self._request, self._checkout, self.started_at
         )
         if self._connect_task is not None:
             self._connect_task.cancel()
@@ -221,11 +195,12 @@
     _connections: connection_table.ConnectionTable
     _replica_chooser: replicas.ReplicaChooser
     _crash_detector: crash_detector.CrashDetector
+    _observer: target_observer.TargetObserver
 
     def send(
         self,
         target: api.Target,
-        request: OutgoingRequest,
+        request: outgoing_request.OutgoingRequest,
         on_outcome: Callable[[Attempt, AttemptOutcome], None],
     ) -> Attempt:
         """Starts an attempt at a target.
@@ -251,6 +226,7 @@
     def record_abandoned(
         self,
         target: api.Target,
+        request: outgoing_request.OutgoingRequest,
         checkout: connection_table.Checkout,
         started_at: float,
     ) -> None:
@@ -262,10 +238,14 @@
 
         Args:
             target: Target of the attempt.
+            request: Request that was sent.
             checkout: Connection of the attempt.
             started_at: When the attempt was started.
         """
         now = clock.monotonic()
+        self._observer.observe_wait(
+            target.id, now - started_at, request.latencies, now
+        )
         if checkout.connection is None:
             self._replica_chooser.record_timeout(
                 target.id, now - started_at, now
@@ -287,7 +267,7 @@
         self._connections.abandon(checkout, on_end)
 
     def attempt_headers(
-        self, target: api.Target, request: OutgoingRequest
+        self, target: api.Target, request: outgoing_request.OutgoingRequest
     ) -> httputil.HTTPHeaders:
         """Returns the request's headers with those of one attempt set.
 
@@ -304,7 +284,7 @@
     def handle_transport_error(
         self,
         target: api.Target,
-        request: OutgoingRequest,
+        request: outgoing_request.OutgoingRequest,
         checkout: connection_table.Checkout,
         error: connection_lib.TransportError,
     ) -> AttemptOutcome:
@@ -315,6 +295,7 @@
         """
         now = clock.monotonic()
         checkout.drop(error.kind)
+        self._observer.observe_failure(target.id, now)
         match error.kind:
             case connection_lib.FailureKind.CONNECT:
                 self._replica_chooser.record_failure(target.id, now)
@@ -334,7 +315,7 @@
     def handle_response(
         self,
         target: api.Target,
-        request: OutgoingRequest,
+        request: outgoing_request.OutgoingRequest,
         checkout: connection_table.Checkout,
         response: connection_lib.Response,
         started_at: float,
@@ -350,6 +331,7 @@
         if invalid_reason is not None:
             checkout.drop()
             self._replica_chooser.record_bad_answer(target.id, now)
+            self._observer.observe_failure(target.id, now)
             return OutcomeUnknown(invalid_reason)
         checkout.put_back()
         if header_names.not_run in response.headers:
@@ -360,7 +342,11 @@
             return NotRun("the address is another target's", was_received=True)
         if response.status >= _MIN_SERVER_ERROR_STATUS:
             self._replica_chooser.record_bad_answer(target.id, now)
+            self._observer.observe_failure(target.id, now)
         else:
+            self._observer.observe_answer(
+                target.id, now - started_at, request.latencies, now
+            )
             self._replica_chooser.record_answer(
                 target.id, now - started_at, now
             )
@@ -370,7 +356,9 @@
         return Answered(response, response.headers.get(header_names.stamp, ""))
 
     def _invalid_response_reason(
-        self, request: OutgoingRequest, response: connection_lib.Response
+        self,
+        request: outgoing_request.OutgoingRequest,
+        response: connection_lib.Response,
     ) -> str | None:
         """Returns why a response is not valid for a request; None if it is.
 
--- a/packages/gateway/src/cassiahead_gateway/catalogue.py
+++ b/packages/gateway/src/cassiahead_gateway/catalogue.py
@@ -90,6 +90,10 @@
         """Number of targets known, including those that get no new work."""
         return len(self._target_by_id)
 
+    def knows_target(self, target_id: str) -> bool:
+        """Returns whether a target is known, usable or not."""
+        return target_id in self._target_by_id
+
     def age_s(self, now: float) -> float:
         """Returns how long ago the records were last known to be current.
 
--- a/packages/gateway/src/cassiahead_gateway/forwarding.py
+++ b/packages/gateway/src/cassiahead_gateway/forwarding.py
@@ -10,6 +10,7 @@
 from cassiahead_gateway import gateway_state as gateway_state_lib
 from cassiahead_gateway import headers as headers_lib
 from cassiahead_gateway import http_server
+from cassiahead_gateway import outgoing_request
 from cassiahead_gateway import request_operation
 from cassiahead_gateway import service_call
 from cassiahead_wire import clock
@@ -30,7 +31,7 @@
     _route: api.Route
     _service: str
     _allowed_regions: tuple[str, ...]
-    _request: attempts.OutgoingRequest
+    _request: outgoing_request.OutgoingRequest
     _received_at: float
     attempt_summary: request_operation.AttemptSummary = attrs.field(
         factory=request_operation.AttemptSummary
--- a/packages/gateway/src/cassiahead_gateway/gateway_state.py
+++ b/packages/gateway/src/cassiahead_gateway/gateway_state.py
@@ -14,6 +14,7 @@
 from cassiahead_decisions import poison
 from cassiahead_decisions import record_freshness
 from cassiahead_decisions import replicas
+from cassiahead_decisions import target_sightings
 from cassiahead_decisions import token_bucket
 from cassiahead_decisions import traffic_split
 from cassiahead_gateway import api
@@ -24,6 +25,7 @@
 from cassiahead_gateway import fleet_size as fleet_size_lib
 from cassiahead_gateway import metrics as metrics_lib
 from cassiahead_gateway import settings as settings_lib
+from cassiahead_gateway import target_observer
 from cassiahead_gateway import target_selection
 from cassiahead_wire import clock
 
@@ -78,6 +80,7 @@
         connections: Connections to targets.
         replica_chooser: Chooses among the replicas of a service.
         target_selector: Chooses targets that may get a request.
+        sightings: Slow targets, as this process and its peers have seen them.
         attempt_sender: Sends attempts to targets.
         crash_detector: Detects requests that crash targets.
         cold_start_limiter: Limits requests to targets in cold start.
@@ -96,6 +99,7 @@
     connections: connection_table.ConnectionTable
     replica_chooser: replicas.ReplicaChooser
     target_selector: target_selection.TargetSelector
+    sightings: target_sightings.TargetSightings
     attempt_sender: attempts.AttemptSender
     crash_detector: crash_detector_lib.CrashDetector
     cold_start_limiter: cold_start.ColdStartLimiter
@@ -135,6 +139,7 @@
             ),
         )
         quota = fleet_quota.FleetQuota()
+        sightings = target_sightings.TargetSightings(rng)
         crash_detector = crash_detector_lib.CrashDetector(
             connections, poison.PoisonTable(_CRASH_THRESHOLD)
         )
@@ -153,6 +158,7 @@
             connections.close_target(target_id)
             replica_chooser.forget_target(target_id)
             cold_start_limiter.forget_target(target_id)
+            sightings.forget_target(target_id)
 
         catalogue = catalogue_lib.Catalogue(
             decode, on_configuration, on_target_gone
@@ -178,10 +184,16 @@
                 connections,
                 replica_chooser,
                 cold_start_limiter,
+                sightings,
                 fleet_size.recent_size,
             ),
+            sightings=sightings,
             attempt_sender=attempts.AttemptSender(
-                settings.headers, connections, replica_chooser, crash_detector
+                settings.headers,
+                connections,
+                replica_chooser,
+                crash_detector,
+                target_observer.TargetObserver(sightings),
             ),
             crash_detector=crash_detector,
             cold_start_limiter=cold_start_limiter,
--- a/packages/gateway/src/cassiahead_gateway/heartbeats.py
+++ b/packages/gateway/src/cassiahead_gateway/heartbeats.py
@@ -13,6 +13,7 @@
 from cassiahead_decisions import peer_table
 from cassiahead_decisions import poison
 from cassiahead_decisions import reported_counts
+from cassiahead_decisions import target_sightings
 from cassiahead_gateway import gateway_state as gateway_state_lib
 from cassiahead_gateway import messages
 from cassiahead_telemetry import events
@@ -37,20 +38,34 @@
 
 @attrs.define
 class _ReportState:
-    """Reports of admissions exchanged with one address.
+    """Reports of admissions and slow targets exchanged with one address.
 
     Attributes:
-        sent: What the peer has been told.
+        numbers: Numbers of the reports to the peer.
+        sent_admissions: Counts of admissions that the peer has been told.
+        sent_sightings: Versions of sightings that the peer has been told.
         is_ignored: Whether the peer has no use for the reports.
         process_name: Process whose reports are received.
         merged_number: Highest number of its reports that was merged.
     """
 
-    sent: reported_counts.ReportedCounts
+    numbers: reported_counts.ReportNumbers
+    sent_admissions: reported_counts.ReportedCounts
+    sent_sightings: reported_counts.ReportedCounts
     is_ignored: bool = False
     process_name: str = ""
     merged_number: int = 0
 
+    @classmethod
+    def at_start(cls, first_number: int) -> _ReportState:
+        """Creates the state of an address without any reports."""
+        numbers = reported_counts.ReportNumbers(first_number)
+        return cls(
+            numbers,
+            reported_counts.ReportedCounts(numbers),
+            reported_counts.ReportedCounts(numbers),
+        )
+
 
 @attrs.define(eq=False)
 class HeartbeatProtocol:
@@ -99,12 +114,8 @@
         lowest_group = peers.group_of(address) + 1
         own_leaving_count = 1 if self.is_leaving else 0
         report_state = self._report_state(address)
-        report = report_state.sent.report(
-            gateway_state.quota.admission_counts(now, lowest_group, is_full)
-            if is_full or not report_state.is_ignored
-            else {},
-            is_full,
-        )
+        report_state.numbers.advance()
+        is_used = is_full or not report_state.is_ignored
         return messages.Heartbeat(
             process=gateway_state.process_name,
             address=gateway_state.settings.peers,
@@ -122,8 +133,17 @@
                 for report in gateway_state.freshness.reports(now)
             ],
             addresses=peers.addresses() if is_full else list(new_addresses),
-            admitted=report.counts,
-            report=report.number,
+            admitted=self._lacking_admissions(
+                report_state, lowest_group, is_full, now
+            )
+            if is_used
+            else {},
+            slow_targets=self._lacking_sightings(
+                report_state, lowest_group - 1, now
+            )
+            if is_used
+            else [],
+            report=report_state.numbers.last,
             merged_report=report_state.merged_number,
             ignores_reports=not peers.is_partner(address),
             crashes=self._crash_reports(is_full, now),
@@ -133,7 +153,7 @@
         """Records which reports the sender of a heartbeat has merged."""
         report_state = self._report_state(heartbeat.address)
         report_state.is_ignored = heartbeat.ignores_reports
-        report_state.sent.acknowledge(heartbeat.merged_report)
+        report_state.numbers.acknowledge(heartbeat.merged_report)
 
     def apply(self, heartbeat: messages.Heartbeat, now: float) -> None:
         """Applies a heartbeat of a peer.
@@ -176,6 +196,7 @@
             )
         gateway_state.peers.forget_lost_addresses(now)
         gateway_state.quota.forget_silent_groups(now)
+        gateway_state.sightings.forget_expired(now)
         gateway_state.quota.set_fleet_size(gateway_state.peers.fleet_size(now))
         gateway_state.crash_detector.poison_table.forget_expired(now)
 
@@ -200,6 +221,15 @@
             has_started_since=heartbeat.uptime_s
             <= now - last_report_at + _SAME_START_WINDOW_S,
         )
+        gateway_state.sightings.merge(
+            group,
+            [
+                report
+                for report in heartbeat.slow_targets
+                if gateway_state.catalogue.knows_target(report.target)
+            ],
+            now,
+        )
         if is_merged:
             self._record_merged(heartbeat)
 
@@ -219,12 +249,30 @@
             first_number = self._gateway_state.rng.getrandbits(
                 _REPORT_NUMBER_BITS
             )
-            report_state = _ReportState(
-                reported_counts.ReportedCounts(first_number)
-            )
+            report_state = _ReportState.at_start(first_number)
             self._report_state_by_address[address] = report_state
         return report_state
 
+    def _lacking_admissions(
+        self,
+        report_state: _ReportState,
+        lowest_group: int,
+        is_full: bool,
+        now: float,
+    ) -> dict[str, int]:
+        counts = self._gateway_state.quota.admission_counts(
+            now, lowest_group, is_full
+        )
+        return report_state.sent_admissions.lacking(counts, is_full)
+
+    def _lacking_sightings(
+        self, report_state: _ReportState, group: int, now: float
+    ) -> list[target_sightings.SightingReport]:
+        sightings = self._gateway_state.sightings
+        versions = sightings.versions(group, now)
+        targets = report_state.sent_sightings.lacking(versions, False)
+        return sightings.reports(targets, group, now)
+
     def _crash_reports(
         self, is_full: bool, now: float
     ) -> list[poison.RelayedReport]:
--- a/packages/gateway/src/cassiahead_gateway/messages.py
+++ b/packages/gateway/src/cassiahead_gateway/messages.py
@@ -11,6 +11,7 @@
 
 from cassiahead_decisions import poison
 from cassiahead_decisions import record_freshness
+from cassiahead_decisions import target_sightings
 from cassiahead_wire import addresses as addresses_lib
 
 __all__ = [
@@ -35,7 +36,8 @@
 # is part of the protocol: both ends must have the same.
 _HEARTBEAT_DICTIONARY = (
     b'"ignores_reports":true,"crashes":[{"fingerprint":"","process":"",'
-    b'"number":,"count":,"ttl_s":}],"addresses":["10."],"is_full":true,'
+    b'"number":,"count":,"ttl_s":}],"slow_targets":[{"target":"i-",'
+    b'"first_s":0.,"last_s":0.,"hosts":1,"good_s":0.}],"addresses":["10."],"is_full":true,'
     b'"wants_full":true,"leaving":1,{"process":"front-","address":"10.",'
     b'"uptime_s":,"at":,"staying":,"fleet":,"reads":[{"process":"front-",'
     b'"number":,"revision":,"age_s":0.}],"admitted":{"":,},"report":,'
@@ -102,6 +104,8 @@
         ignores_reports: Whether the sender has no use for the receiver's
             admissions, since it gets them from another process.
         crashes: Crashes of targets that the fleet has detected lately.
+        slow_targets: Targets that were seen to be slow lately, as far as the
+            receiver may lack it.
     """
 
     process: str
@@ -120,6 +124,9 @@
     merged_report: int = 0
     ignores_reports: bool = False
     crashes: list[poison.RelayedReport] = attrs.field(factory=list)
+    slow_targets: list[target_sightings.SightingReport] = attrs.field(
+        factory=list
+    )
 
 
 @attrs.frozen
--- a/packages/gateway/src/cassiahead_gateway/request_handler.py
+++ b/packages/gateway/src/cassiahead_gateway/request_handler.py
@@ -12,12 +12,12 @@
 from cassiahead_decisions import poison
 from cassiahead_decisions import sampling
 from cassiahead_gateway import api
-from cassiahead_gateway import attempts
 from cassiahead_gateway import errors
 from cassiahead_gateway import forwarding
 from cassiahead_gateway import gateway_state as gateway_state_lib
 from cassiahead_gateway import headers as headers_lib
 from cassiahead_gateway import http_server
+from cassiahead_gateway import outgoing_request
 from cassiahead_gateway import request_log
 from cassiahead_gateway import request_operation
 from cassiahead_gateway import scatter_gather
@@ -232,7 +232,9 @@
             self._gateway_state, route, service, *arguments
         )
 
-    def _reject_poisoned(self, request: attempts.OutgoingRequest) -> None:
+    def _reject_poisoned(
+        self, request: outgoing_request.OutgoingRequest
+    ) -> None:
         poison_table = self._gateway_state.crash_detector.poison_table
         now = clock.monotonic()
         if not poison_table.is_poisoned(request.fingerprint, now):
@@ -249,7 +251,7 @@
         request: http_server.Request,
         request_id: str,
         admitted_request: request_log.AdmittedRequest,
-    ) -> attempts.OutgoingRequest:
+    ) -> outgoing_request.OutgoingRequest:
         header_names = self._gateway_state.settings.headers
         gateway_header_names = {
             header_names.request_id,
@@ -265,7 +267,7 @@
         headers[header_names.request_id] = request_id
         if admitted_request.account is not None:
             headers[header_names.account] = admitted_request.account.name
-        return attempts.OutgoingRequest(
+        return outgoing_request.OutgoingRequest(
             request_id,
             request.method,
             request.path,
@@ -273,6 +275,7 @@
             request.body,
             self._deadline(request, admitted_request.route),
             admitted_request.fingerprint,
+            self._gateway_state.latency_window_for(admitted_request.route.name),
         )
 
     def _error_reply(
--- a/packages/gateway/src/cassiahead_gateway/scatter_gather.py
+++ b/packages/gateway/src/cassiahead_gateway/scatter_gather.py
@@ -14,10 +14,10 @@
 
 from cassiahead_decisions import gathering
 from cassiahead_gateway import api
-from cassiahead_gateway import attempts
 from cassiahead_gateway import errors
 from cassiahead_gateway import gateway_state as gateway_state_lib
 from cassiahead_gateway import http_server
+from cassiahead_gateway import outgoing_request
 from cassiahead_gateway import request_operation
 from cassiahead_gateway import service_call
 from cassiahead_gateway import target_selection
@@ -54,7 +54,7 @@
     _route: api.Route
     _scatter: api.Scatter
     _allowed_regions: tuple[str, ...]
-    _request: attempts.OutgoingRequest
+    _request: outgoing_request.OutgoingRequest
     _received_at: float
     attempt_summary: request_operation.AttemptSummary = attrs.field(
         factory=request_operation.AttemptSummary
--- a/packages/gateway/src/cassiahead_gateway/service_call.py
+++ b/packages/gateway/src/cassiahead_gateway/service_call.py
@@ -10,6 +10,7 @@
 from cassiahead_gateway import api
 from cassiahead_gateway import attempts
 from cassiahead_gateway import gateway_state as gateway_state_lib
+from cassiahead_gateway import outgoing_request
 from cassiahead_gateway import target_selection
 from cassiahead_telemetry import events
 from cassiahead_wire import clock
@@ -54,7 +55,7 @@
     _gateway_state: gateway_state_lib.GatewayState
     _route: api.Route
     _allowed_regions: tuple[str, ...]
-    _request: attempts.OutgoingRequest
+    _request: outgoing_request.OutgoingRequest
     _capacity_wait_limit_s: float
     _on_attempt_end: Callable[[ServiceCall], None]
     answer: attempts.Answered | None = None
--- /dev/null
+++ b/packages/gateway/src/cassiahead_gateway/target_observer.py
@@ -0,0 +1,71 @@
+"""Notes which targets answer slowly, compared with others on the same route."""
+
+from __future__ import annotations
+
+import attrs
+
+from cassiahead_decisions import hedging
+from cassiahead_decisions import target_sightings
+
+__all__ = ["TargetObserver"]
+
+# An answer is slow if it takes more than this multiple of the route's median,
+# and good if it takes less than the other.
+_SLOW_LATENCY_RATIO = 2.5
+_GOOD_LATENCY_RATIO = 1.5
+
+
+@attrs.frozen(eq=False)
+class TargetObserver:
+    """Classifies the results of attempts for the sightings of targets.
+
+    All times are seconds on this process's monotonic clock.
+    """
+
+    _sightings: target_sightings.TargetSightings
+
+    def observe_answer(
+        self,
+        target_id: str,
+        latency_s: float,
+        latencies: hedging.LatencyWindow,
+        now: float,
+    ) -> None:
+        """Records a good answer, which may have come late.
+
+        Args:
+            target_id: Id of the target.
+            latency_s: Seconds since the request was sent.
+            latencies: Recent latencies of attempts on the same route.
+            now: Current time.
+        """
+        median_s = latencies.median_s
+        if median_s is None:
+            return
+        if latency_s > _SLOW_LATENCY_RATIO * median_s:
+            self._sightings.record_slow(target_id, now)
+        elif latency_s < _GOOD_LATENCY_RATIO * median_s:
+            self._sightings.record_good(target_id, now)
+
+    def observe_wait(
+        self,
+        target_id: str,
+        elapsed_s: float,
+        latencies: hedging.LatencyWindow,
+        now: float,
+    ) -> None:
+        """Records an attempt that was given up without an answer.
+
+        Args:
+            target_id: Id of the target.
+            elapsed_s: Seconds since the request was sent.
+            latencies: Recent latencies of attempts on the same route.
+            now: Current time.
+        """
+        median_s = latencies.median_s
+        if median_s is not None and elapsed_s > _SLOW_LATENCY_RATIO * median_s:
+            self._sightings.record_slow(target_id, now)
+
+    def observe_failure(self, target_id: str, now: float) -> None:
+        """Records an attempt without a good answer."""
+        self._sightings.record_slow(target_id, now)
--- a/packages/gateway/src/cassiahead_gateway/target_selection.py
+++ b/packages/gateway/src/cassiahead_gateway/target_selection.py
@@ -15,6 +15,7 @@
 from cassiahead_decisions import cold_start
 from cassiahead_decisions import peer_table
 from cassiahead_decisions import replicas
+from cassiahead_decisions import target_sightings
 from cassiahead_gateway import api
 from cassiahead_gateway import catalogue as catalogue_lib
 from cassiahead_gateway import connection_table
@@ -57,6 +58,7 @@
     _connections: connection_table.ConnectionTable
     _replica_chooser: replicas.ReplicaChooser
     _cold_start_limiter: cold_start.ColdStartLimiter
+    _sightings: target_sightings.TargetSightings
     _fleet_size: Callable[[float], int]
 
     def choose(
@@ -182,6 +184,13 @@
     ) -> api.Target:
         target_by_id = {t.id: t for t in warm_targets}
         domain_by_id = {t.id: t.failure_domain for t in warm_targets}
-        chosen_id = self._replica_chooser.choose_among(domain_by_id, now)
+        slow_ids = {
+            target_id
+            for target_id in domain_by_id
+            if self._sightings.is_slow(target_id, now)
+        }
+        chosen_id = self._replica_chooser.choose_among(
+            domain_by_id, now, slow_ids
+        )
         assert chosen_id is not None
         return target_by_id[chosen_id]
