Return to targets with an idle connection

Cause: a host with one search in seconds chose among all replicas alike, also among those that it had never asked, which counted as faster than the others. Change: a replica without an idle connection costs half as much again; one that has not answered yet counts as usual, not as faster than any.

--- a/packages/decisions/src/cassiahead_decisions/replica_policies.py
+++ b/packages/decisions/src/cassiahead_decisions/replica_policies.py
@@ -2,9 +2,20 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
-__all__ = ["CROSS_DOMAIN_PENALTY_S", "Policy", "TwoChoices", "WeightedRandom"]
+if TYPE_CHECKING:
+    import random
+
+__all__ = [
+    "CROSS_DOMAIN_PENALTY_S",
+    "Policy",
+    "TwoChoices",
+    "WeightedRandom",
+    "draw_index",
+]
 
 # Added to the cost of a replica in another failure domain, in seconds of
 # latency.
@@ -46,3 +57,16 @@
 
 
 Policy = TwoChoices | WeightedRandom
+
+
+def draw_index(weights: list[float], rng: random.Random) -> int:
+    """Draws an index with a probability proportional to its weight.
+
+    Equivalent to ``rng.choices`` with one draw, at less cost.
+    """
+    point = rng.random() * sum(weights)
+    for index, weight in enumerate(weights[:-1]):
+        point -= weight
+        if point < 0:
+            return index
+    return len(weights) - 1
--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+import types
 from typing import TYPE_CHECKING
 
 import attrs
@@ -35,9 +36,8 @@
 _MAX_EJECTION_S = 20.0
 # Added to the cost of an ejected replica, in seconds of latency.
 _EJECTED_PENALTY_S = 1.0
-# Added to the cost of a replica that the fleet has seen to be slow, in seconds
-# of latency: it is chosen only if all others are worse.
-_SLOW_TARGET_PENALTY_S = 0.5
+# Weight of an answer in the moving average of the latencies of all targets.
+_USUAL_LATENCY_SMOOTHING = 0.05
 # Shortest time between two requests to a target that has not answered since it
 # failed: long enough for a request and its late answer.
 _PROBE_INTERVAL_S = 0.5
@@ -48,6 +48,9 @@
 _PANIC_FRACTION = 0.5
 
 
+_NO_FACTORS: Mapping[str, float] = types.MappingProxyType({})
+
+
 def usable_replicas(
     configuration: notes.Configuration, layout: notes.Layout, shard: str
 ) -> list[str]:
@@ -114,6 +117,8 @@
     _rng: random.Random
     _max_ejection_s: float = _MAX_EJECTION_S
     _policy: Policy = attrs.field(factory=TwoChoices)
+    # Moving average over the answers of all targets.
+    _usual_latency_s: float = target_stats.INITIAL_LATENCY_S
     _stats_by_target: dict[str, target_stats.TargetStats] = attrs.field(
         factory=dict
     )
@@ -146,14 +151,15 @@
         self,
         domain_by_target: Mapping[str, str],
         now: float,
-        slow_targets: Collection[str] = (),
+        cost_factor_by_target: Mapping[str, float] = _NO_FACTORS,
     ) -> str | None:
         """Returns the replica to send a request to, according to the policy.
 
         Args:
             domain_by_target: Failure domain of each replica to choose from.
             now: Current time.
-            slow_targets: Replicas that the fleet has seen to be slow.
+            cost_factor_by_target: Factors of the costs of replicas, for reasons
+                that their own results do not show; 1 by default.
 
         Returns:
             The replica, or None if there are none to choose from.
@@ -167,7 +173,7 @@
             not_ejected = [c for c in candidates if not c.stats.is_ejected(now)]
             candidates = not_ejected or candidates
         costs_s = [
-            cost_s + _SLOW_TARGET_PENALTY_S * (candidate.target in slow_targets)
+            cost_s * cost_factor_by_target.get(candidate.target, 1.0)
             for candidate, cost_s in zip(
                 candidates,
                 self._costs_s(candidates, in_panic_mode, now),
@@ -182,7 +188,7 @@
                 index = min(sorted(drawn), key=lambda i: costs_s[i])
             case WeightedRandom(cost_exponent):
                 weights = [cost_s**-cost_exponent for cost_s in costs_s]
-                index = _draw_index(weights, self._rng)
+                index = replica_policies.draw_index(weights, self._rng)
         return candidates[index].target
 
     def is_in_panic_mode(self, now: float) -> bool:
@@ -234,7 +240,13 @@
         """Records a good answer, which ends the target's ejection."""
         stats = self._stats(target, now)
         stats.outstanding_count = max(0, stats.outstanding_count - 1)
+        if not stats.has_latency:
+            stats.latency_s = self._usual_latency_s
+            stats.latency_updated_at = now
         stats.record_latency(latency_s, now)
+        self._usual_latency_s += _USUAL_LATENCY_SMOOTHING * (
+            latency_s - self._usual_latency_s
+        )
         stats.record_result(True, now)
         stats.last_answered_at = now
         stats.consecutive_failure_count = 0
@@ -362,13 +374,21 @@
         # The expected latency decays without new latencies, but not below the
         # lowest latency of the candidates: a target that answers nothing must
         # not appear fast.
-        min_latency_s = min(c.stats.latency_s for c in candidates)
+        min_latency_s = min(
+            c.stats.latency_s if c.stats.has_latency else self._usual_latency_s
+            for c in candidates
+        )
         min_latency_s = max(_MIN_LATENCY_S, min_latency_s)
         costs_s = []
         for candidate in candidates:
             stats = candidate.stats
             success_ratio = stats.success_ratio(now)
-            latency_s = max(min_latency_s, stats.expected_latency_s(now))
+            # A target that has not answered yet is taken for a usual one.
+            latency_s = (
+                max(min_latency_s, stats.expected_latency_s(now))
+                if stats.has_latency
+                else self._usual_latency_s
+            )
             cost_s = latency_s / success_ratio**2
             cost_s *= 1 + stats.outstanding_count
             cost_s += bad_answer_penalty_s * (
@@ -380,16 +400,3 @@
                 cost_s += _EJECTED_PENALTY_S
             costs_s.append(cost_s)
         return costs_s
-
-
-def _draw_index(weights: list[float], rng: random.Random) -> int:
-    """Draws an index with a probability proportional to its weight.
-
-    Equivalent to ``rng.choices`` with one draw, at less cost.
-    """
-    point = rng.random() * sum(weights)
-    for index, weight in enumerate(weights[:-1]):
-        point -= weight
-        if point < 0:
-            return index
-    return len(weights) - 1
--- a/packages/decisions/src/cassiahead_decisions/target_stats.py
+++ b/packages/decisions/src/cassiahead_decisions/target_stats.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-__all__ = ["MAX_SUCCESS_RATIO", "TargetStats"]
+__all__ = ["INITIAL_LATENCY_S", "MAX_SUCCESS_RATIO", "TargetStats"]
 
 # Weight of a new latency in the moving average of latencies.
 _LATENCY_SMOOTHING_FRACTION = 0.2
 # Latency assumed of a target that has not answered yet.
-_INITIAL_LATENCY_S = 0.005
+INITIAL_LATENCY_S = 0.005
 # Half-life of a target's expected latency while no new latency is recorded.
 _LATENCY_HALF_LIFE_S = 2.0
 # Weight of a new answer, good or bad, in the moving average of the ratio of bad
@@ -32,6 +32,7 @@
     Attributes:
         latency_updated_at: Time of the last update of ``latency_s``.
         latency_s: Moving average of the latencies, as of that time.
+        has_latency: Whether a latency was recorded.
         outstanding_count: Requests sent and not yet answered.
         consecutive_failure_count: Failures since the last good answer, at
             most 10.
@@ -45,7 +46,8 @@
     """
 
     latency_updated_at: float
-    latency_s: float = _INITIAL_LATENCY_S
+    latency_s: float = INITIAL_LATENCY_S
+    has_latency: bool = False
     outstanding_count: int = 0
     consecutive_failure_count: int = 0
     ejection_ends_at: float = 0.0
@@ -92,6 +94,7 @@
             latency_s - expected_s
         )
         self.latency_updated_at = now
+        self.has_latency = True
 
     def is_ejected(self, now: float) -> bool:
         """Returns whether the target is avoided because of failures."""
--- a/packages/gateway/src/cassiahead_gateway/connection_table.py
+++ b/packages/gateway/src/cassiahead_gateway/connection_table.py
@@ -262,6 +262,11 @@
             return True
         return pool.can_open(max_open_count, clock.monotonic())
 
+    def has_idle(self, target_id: str) -> bool:
+        """Returns whether a request needs no new connection to a target."""
+        pool = self._pool_by_target_id.get(target_id)
+        return pool is not None and bool(pool.idle_connections)
+
     def check_out(self, target_id: str, address: str) -> Checkout:
         """Reserves an idle connection to a target, or one still to be opened.
 
--- a/packages/gateway/src/cassiahead_gateway/target_selection.py
+++ b/packages/gateway/src/cassiahead_gateway/target_selection.py
@@ -26,6 +26,14 @@
 
 __all__ = ["ServiceTargets", "TargetSelector"]
 
+# Cost factor of a target without an idle connection: opening one takes time,
+# and one of the target's slots. A host that rarely sends requests therefore
+# mostly returns to the targets that it has connections to.
+_UNCONNECTED_COST_FACTOR = 1.5
+# Cost factor of a target that the fleet has seen to be slow: it is chosen only
+# if all others are worse.
+_SLOW_TARGET_COST_FACTOR = 20.0
+
 
 @attrs.frozen(eq=False)
 class ServiceTargets:
@@ -184,13 +192,19 @@
     ) -> api.Target:
         target_by_id = {t.id: t for t in warm_targets}
         domain_by_id = {t.id: t.failure_domain for t in warm_targets}
-        slow_ids = {
-            target_id
-            for target_id in domain_by_id
-            if self._sightings.is_slow(target_id, now)
-        }
         chosen_id = self._replica_chooser.choose_among(
-            domain_by_id, now, slow_ids
+            domain_by_id,
+            now,
+            {t.id: self._cost_factor(t.id, now) for t in warm_targets},
         )
         assert chosen_id is not None
         return target_by_id[chosen_id]
+
+    def _cost_factor(self, target_id: str, now: float) -> float:
+        """Returns how much dearer a target is than its own results show."""
+        factor = 1.0
+        if not self._connections.has_idle(target_id):
+            factor *= _UNCONNECTED_COST_FACTOR
+        if self._sightings.is_slow(target_id, now):
+            factor *= _SLOW_TARGET_COST_FACTOR
+        return factor
