Refuse a request that reached no target as not run

Cause: a request whose connection was still being opened at its deadline was answered with 504, which promises nothing, though no byte of it had been sent; callers may then not repeat what may run only once. Change: an attempt knows whether it was sent; without one that was, the answer is 503, for searches as well.

--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -92,6 +92,7 @@
         target: Target of the attempt.
         started_at: When the attempt was started, in seconds on this process's
             monotonic clock.
+        is_sent: Whether bytes of the request may have reached the target.
     """
 
     _sender: AttemptSender
@@ -100,6 +101,7 @@
     started_at: float
     _checkout: connection_table.Checkout
     _on_outcome: Callable[[Attempt, AttemptOutcome], None]
+    is_sent: bool = False
     _connect_task: asyncio.Task[None] | None = None
     _is_ended: bool = False
 
@@ -141,6 +143,9 @@
         self._send_on(connection)
 
     def _send_on(self, connection: connection_lib.Connection) -> None:
+        if self._is_ended:
+            return
+        self.is_sent = True
         try:
             connection.start(
                 self._request.method,
--- a/packages/gateway/src/cassiahead_gateway/forwarding.py
+++ b/packages/gateway/src/cassiahead_gateway/forwarding.py
@@ -70,6 +70,7 @@
             has_attempt_in_flight = (
                 not call.is_settled and not call.is_waiting_for_capacity
             )
+            may_run = call.may_run
             call.cancel()
             self.attempt_summary = request_operation.AttemptSummary(
                 1,
@@ -80,7 +81,7 @@
             )
         answer = call.answer or call.error_answer
         if answer is None:
-            raise self._failure(call, has_attempt_in_flight)
+            raise self._failure(call, has_attempt_in_flight, may_run)
         return self._reply(answer)
 
     def stop(self) -> None:
@@ -119,22 +120,29 @@
         self._check_completion(call)
 
     def _failure(
-        self, call: service_call.ServiceCall, has_attempt_in_flight: bool
+        self,
+        call: service_call.ServiceCall,
+        has_attempt_in_flight: bool,
+        may_run: bool,
     ) -> errors.RequestError:
+        if not may_run:
+            return self._refusal(call)
         if self._completion.is_stopped:
-            if has_attempt_in_flight or call.may_have_run:
-                return request_operation.stopped_error()
-            return request_operation.stopping_error()
+            return request_operation.stopped_error()
         if has_attempt_in_flight:
             return errors.RequestError(
                 errors.ErrorCode.DEADLINE,
                 "the target did not answer before the deadline",
             )
-        if call.may_have_run:
-            return errors.RequestError(
-                errors.ErrorCode.TARGET_LOST,
-                "no usable response; a target may have run the request",
-            )
+        return errors.RequestError(
+            errors.ErrorCode.TARGET_LOST,
+            "no usable response; a target may have run the request",
+        )
+
+    def _refusal(self, call: service_call.ServiceCall) -> errors.RequestError:
+        """Returns the refusal of a request that no target has run or will."""
+        if self._completion.is_stopped:
+            return request_operation.stopping_error()
         if not call.attempt_count:
             return errors.RequestError(
                 errors.ErrorCode.NO_TARGET,
--- a/packages/gateway/src/cassiahead_gateway/scatter_gather.py
+++ b/packages/gateway/src/cassiahead_gateway/scatter_gather.py
@@ -65,6 +65,7 @@
     )
     _unsettled_calls: set[service_call.ServiceCall] = attrs.field(factory=set)
     _answered_count: int = 0
+    _may_run: bool = False
     _is_past_soft_deadline: bool = False
     _is_poll_scheduled: bool = False
 
@@ -107,6 +108,7 @@
             await self._completion.future
         finally:
             self._completion.cancel_timers()
+            self._may_run = any(call.may_run for call in self._calls)
             for call in self._calls:
                 call.cancel()
             self._fill_attempt_summary()
@@ -363,14 +365,16 @@
             f"{self.attempt_summary.answered_count} of "
             f"{self.attempt_summary.part_count} shards answered"
         )
-        if self._completion.is_stopped:
-            return request_operation.stopped_error()
-        if all(not c.may_have_run and c.has_failed for c in self._calls):
+        if not self._may_run:
+            if self._completion.is_stopped:
+                return request_operation.stopping_error()
             return errors.RequestError(
                 errors.ErrorCode.SHED,
                 detail,
                 request_operation.SHED_RETRY_AFTER_S,
             )
+        if self._completion.is_stopped:
+            return request_operation.stopped_error()
         if clock.monotonic() >= self._request.deadline:
             return errors.RequestError(errors.ErrorCode.DEADLINE, detail)
         return errors.RequestError(errors.ErrorCode.COVERAGE_TOO_LOW, detail)
--- a/packages/gateway/src/cassiahead_gateway/service_call.py
+++ b/packages/gateway/src/cassiahead_gateway/service_call.py
@@ -89,6 +89,13 @@
         """Whether bytes of a response, or a close, wait to be handled."""
         return any(a.is_answer_arriving for a in self._attempts_in_flight)
 
+    @property
+    def may_run(self) -> bool:
+        """Whether a target may have run the request, or may still do so."""
+        return self.may_have_run or any(
+            a.is_sent for a in self._attempts_in_flight
+        )
+
     def start(self, targets: target_selection.ServiceTargets) -> None:
         """Makes the first attempt, or waits if no target has capacity.
 
