--- a/packages/telemetry/src/cassiahead_telemetry/events.py
+++ b/packages/telemetry/src/cassiahead_telemetry/events.py
@@ -51,6 +51,8 @@
     TARGET_LINGERS = (215, logging.INFO)
     DOMAIN_TAKEN_OUT = (216, logging.WARNING)
     DOMAIN_RETURNED = (217, logging.INFO)
+    TARGETS_SLOW = (218, logging.WARNING)
+    TARGETS_USUAL = (219, logging.INFO)
     READING_BEGUN = (220, logging.INFO)
     READING_ENDED = (221, logging.INFO)
     READ_FAILED = (222, logging.WARNING)
