Tell the fleet which targets lose part of their answers

Change: sightings of a second kind, counted apart, which a good answer does not clear. Failed connects count as silence, which the good answers of others clear: hosts that are cut off must not keep the others away.

--- a/packages/decisions/tests/test_target_sightings.py
+++ b/packages/decisions/tests/test_target_sightings.py
@@ -24,6 +24,7 @@
 _PAUSE_INTERVAL_S = 3.6
 _SLOW_LATENCY_S = 2.5 * _WORK_S
 _GOOD_LATENCY_S = 1.5 * _WORK_S
+_LOST_ANSWER_RATIO = 0.4
 _SIGHTING_BYTES = 90
 _MAX_CONTROL_BYTES_PER_S = 5000
 
@@ -31,7 +32,7 @@
 @attrs.define
 class _Host:
     chooser: replicas.ReplicaChooser
-    sightings: target_sightings.TargetSightings
+    sightings: target_sightings.FleetSightings
     peers: peer_table.PeerTable
 
 
@@ -40,7 +41,8 @@
     """Hosts that search over replicas, some of which turn slow.
 
     Attributes:
-        sent_at: Times of the requests to slow targets.
+        failing_targets: Targets that lose part of their answers.
+        sent_at: Times of the requests to slow or failing targets.
         told_count: Number of sightings that partners were told.
     """
 
@@ -48,12 +50,13 @@
     is_sharing: bool
     hosts: dict[str, _Host] = attrs.field(factory=dict)
     slow_targets: set[str] = attrs.field(factory=set)
+    failing_targets: set[str] = attrs.field(factory=set)
     cut_hosts: set[str] = attrs.field(factory=set)
     pause_offsets: dict[str, float] = attrs.field(factory=dict)
     now: float = 100.0
     sent_at: list[float] = attrs.field(factory=list)
     told_count: int = 0
-    _versions: dict[tuple[str, str], dict[str, int]] = attrs.field(factory=dict)
+    _versions: dict[tuple[int, str], dict[str, int]] = attrs.field(factory=dict)
     _events: list[tuple[float, int, object]] = attrs.field(factory=list)
     _event_count: int = 0
 
@@ -72,7 +75,7 @@
                 4.0,
                 replica_policies.WeightedRandom(8.0, 0.006, 0.1),
             )
-            sightings = target_sightings.TargetSightings(
+            sightings = target_sightings.FleetSightings.at_start(
                 random.Random(rng.random())
             )
             fleet.hosts[address] = _Host(chooser, sightings, peers)
@@ -95,7 +98,7 @@
 
     def avoiding_hosts(self, target: str) -> int:
         return sum(
-            host.sightings.is_slow(target, self.now)
+            host.sightings.is_bad(target, self.now)
             for host in self.hosts.values()
         )
 
@@ -117,14 +120,14 @@
         cost_factors = {
             name: 20.0
             for name in names
-            if self.is_sharing and host.sightings.is_slow(name, self.now)
+            if self.is_sharing and host.sightings.is_bad(name, self.now)
         }
         target = host.chooser.choose_among(
             dict.fromkeys(names, "d0"), self.now, cost_factors
         )
         assert target is not None
         host.chooser.record_sent(target, self.now)
-        if target in self.slow_targets:
+        if target in self.slow_targets | self.failing_targets:
             self.sent_at.append(self.now)
         latency_s = self._latency_s(address, target)
         self._schedule(
@@ -144,11 +147,19 @@
 
     def _receive(self, address: str, target: str, latency_s: float) -> None:
         host = self.hosts[address]
+        if (
+            target in self.failing_targets
+            and self.rng.random() < _LOST_ANSWER_RATIO
+        ):
+            host.chooser.record_bad_answer(target, self.now)
+            host.sightings.failing.record_bad(target, self.now)
+            return
         host.chooser.record_answer(target, latency_s, self.now)
+        host.sightings.failing.record_good(target, self.now)
         if latency_s > _SLOW_LATENCY_S:
-            host.sightings.record_slow(target, self.now)
+            host.sightings.slow.record_bad(target, self.now)
         elif latency_s < _GOOD_LATENCY_S:
-            host.sightings.record_good(target, self.now)
+            host.sightings.slow.record_good(target, self.now)
 
     def _report(self, address: str) -> None:
         self._schedule(
@@ -161,21 +172,33 @@
             self._tell(partner, address)
 
     def _tell(self, sender: str, receiver: str) -> None:
-        host = self.hosts[sender]
-        group = host.peers.group_of(receiver)
-        told = self._versions.setdefault((sender, receiver), {})
-        versions = host.sightings.versions(group)
+        sightings = self.hosts[sender].sightings
+        receiver_sightings = self.hosts[receiver].sightings
+        self._tell_kind(
+            sender, receiver, sightings.slow, receiver_sightings.slow
+        )
+        self._tell_kind(
+            sender, receiver, sightings.failing, receiver_sightings.failing
+        )
+
+    def _tell_kind(
+        self,
+        sender: str,
+        receiver: str,
+        sightings: target_sightings.TargetSightings,
+        receiver_sightings: target_sightings.TargetSightings,
+    ) -> None:
+        group = self.hosts[sender].peers.group_of(receiver)
+        told = self._versions.setdefault((id(sightings), receiver), {})
+        versions = sightings.versions(group)
         lacking = [t for t, v in versions.items() if v > told.get(t, -1)]
         told.update(versions)
-        reports = host.sightings.reports(lacking, group, self.now)
+        reports = sightings.reports(lacking, group, self.now)
         self.told_count += len(reports)
-        receiver_host = self.hosts[receiver]
-        receiver_group = receiver_host.peers.group_of(sender)
+        receiver_group = self.hosts[receiver].peers.group_of(sender)
         self._schedule(
             self.now + _LINK_DELAY_S,
-            lambda: receiver_host.sightings.merge(
-                receiver_group, reports, self.now
-            ),
+            lambda: receiver_sightings.merge(receiver_group, reports, self.now),
         )
 
 
@@ -203,6 +226,21 @@
     assert shared_count < 0.25 * alone_count
 
 
+def _failing_sends(seed: int, is_sharing: bool) -> int:
+    """Returns the requests to failing targets from 1.5 s after their onset."""
+    fleet = _Fleet.create(seed, 64, is_sharing)
+    fleet.run(5.0)
+    fleet.failing_targets = {f"t{shard}-0" for shard in range(_SHARD_COUNT)}
+    since = fleet.now + 1.5
+    fleet.run(5.0)
+    return sum(1 for at in fleet.sent_at if at >= since)
+
+
+def test_fleet_avoids_targets_that_lose_part_of_their_answers() -> None:
+    # A good answer in between kept each host asking them.
+    assert _failing_sends(1, True) < 0.25 * _failing_sends(1, False)
+
+
 def test_pauses_of_targets_are_not_told_in_calm() -> None:
     fleet = _Fleet.create(2, 64, True)
     fleet.run(10.0)
@@ -242,21 +280,29 @@
 
 def test_sighting_does_not_look_newer_after_many_relays() -> None:
     fleet = _Fleet.create(5, 16, True)
-    address = next(iter(fleet.hosts))
-    sightings = fleet.hosts[address].sightings
-    for _ in range(40):
-        sightings.record_slow("t0-0", 100.0)
-    other = next(a for a in fleet.hosts if a != address)
-    for _ in range(40):
-        fleet.hosts[other].sightings.record_slow("t0-0", 100.5)
+    addresses = list(fleet.hosts)
+    for number, address in enumerate(addresses[:3]):
+        for _ in range(40):
+            fleet.hosts[address].sightings.slow.record_bad(
+                "t0-0", fleet.now + 0.3 * number
+            )
+    fleet.now += 1.0
+    for _ in range(10):
+        _tell_all(fleet)
+    assert fleet.avoiding_hosts("t0-0") > 0
+    # Each host avoids the target for 8 s at most after the last bad answer.
     for _ in range(80):
-        for host in list(fleet.hosts):
-            for partner in fleet.hosts[host].peers.partners().values():
-                fleet._tell(partner, host)
         fleet.now += 0.1
-        while fleet._events and fleet._events[0][0] <= fleet.now:
-            _, _, action = heapq.heappop(fleet._events)
-            if getattr(action, "__name__", "") == "<lambda>":
-                action()  # type: ignore[operator]
-    # The last slow answer is 8 s old, more than any host avoids a target.
+        _tell_all(fleet)
     assert fleet.avoiding_hosts("t0-0") == 0
+
+
+def _tell_all(fleet: _Fleet) -> None:
+    """Lets all hosts tell their partners at once, and the partners hear it."""
+    fleet._events.clear()
+    for address, host in fleet.hosts.items():
+        for partner in host.peers.partners().values():
+            fleet._tell(partner, address)
+    while fleet._events:
+        _, _, action = heapq.heappop(fleet._events)
+        action()  # type: ignore[operator]
--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -64,7 +64,7 @@
         factory=loop_delay.LoopDelayMonitor
     )
     _was_ready: bool = False
-    _slow_targets: set[str] = attrs.field(factory=set)
+    _bad_targets: set[str] = attrs.field(factory=set)
 
     @classmethod
     def from_settings(
@@ -286,7 +286,7 @@
             self._gateway_state.catalogue.forget_expired(now)
             self._gateway_state.connections.close_expired()
             self._log_readiness_change()
-            self._log_slow_targets(now)
+            self._log_bad_targets(now)
 
     def _add_gauges(self) -> None:
         """Registers the metrics that are read from the shared state."""
@@ -308,9 +308,9 @@
             lambda: catalogue.age_s(clock.monotonic()),
         )
         metrics.add_gauge(
-            "cassiahead_slow_targets",
-            "Targets avoided because the fleet has seen them to be slow",
-            lambda: len(self._slow_targets),
+            "cassiahead_bad_targets",
+            "Targets avoided because the fleet has seen them to be bad",
+            lambda: len(self._bad_targets),
         )
         metrics.add_gauge(
             "cassiahead_reading",
@@ -354,17 +354,17 @@
         else:
             events.log(events.Event.UNREADY, reason="stopping")
 
-    def _log_slow_targets(self, now: float) -> None:
+    def _log_bad_targets(self, now: float) -> None:
         """Logs the targets that are avoided from now on, or no longer."""
-        slow_targets = self._gateway_state.sightings.slow_targets(now)
-        previous_targets, self._slow_targets = self._slow_targets, slow_targets
+        bad_targets = self._gateway_state.sightings.bad_targets(now)
+        previous_targets, self._bad_targets = self._bad_targets, bad_targets
         for event, targets in (
-            (events.Event.TARGETS_SLOW, slow_targets - previous_targets),
-            (events.Event.TARGETS_USUAL, previous_targets - slow_targets),
+            (events.Event.TARGETS_BAD, bad_targets - previous_targets),
+            (events.Event.TARGETS_GOOD, previous_targets - bad_targets),
         ):
             if targets:
                 events.log(
-                    event, targets=sorted(targets), avoided=len(slow_targets)
+                    event, targets=sorted(targets), avoided=len(bad_targets)
                 )
 
     async def _flush_logs(self) -> None:
--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -300,15 +300,16 @@
         """
         now = clock.monotonic()
         checkout.drop(error.kind)
-        self._observer.observe_failure(target.id, now)
         match error.kind:
             case connection_lib.FailureKind.CONNECT:
                 self._replica_chooser.record_failure(target.id, now)
+                self._observer.observe_no_connection(target.id, now)
             case (
                 connection_lib.FailureKind.CLOSED
                 | connection_lib.FailureKind.MALFORMED
             ):
                 self._replica_chooser.record_bad_answer(target.id, now)
+                self._observer.observe_failure(target.id, now)
         if not error.may_have_been_sent:
             return NotRun(f"no connection: {error.kind}", was_received=False)
         if error.kind is connection_lib.FailureKind.CLOSED:
--- a/packages/gateway/src/cassiahead_gateway/gateway_state.py
+++ b/packages/gateway/src/cassiahead_gateway/gateway_state.py
@@ -80,7 +80,7 @@
         connections: Connections to targets.
         replica_chooser: Chooses among the replicas of a service.
         target_selector: Chooses targets that may get a request.
-        sightings: Slow targets, as this process and its peers have seen them.
+        sightings: Bad targets, as this process and its peers have seen them.
         attempt_sender: Sends attempts to targets.
         crash_detector: Detects requests that crash targets.
         cold_start_limiter: Limits requests to targets in cold start.
@@ -99,7 +99,7 @@
     connections: connection_table.ConnectionTable
     replica_chooser: replicas.ReplicaChooser
     target_selector: target_selection.TargetSelector
-    sightings: target_sightings.TargetSightings
+    sightings: target_sightings.FleetSightings
     attempt_sender: attempts.AttemptSender
     crash_detector: crash_detector_lib.CrashDetector
     cold_start_limiter: cold_start.ColdStartLimiter
@@ -139,7 +139,7 @@
             ),
         )
         quota = fleet_quota.FleetQuota()
-        sightings = target_sightings.TargetSightings(rng)
+        sightings = target_sightings.FleetSightings.at_start(rng)
         crash_detector = crash_detector_lib.CrashDetector(
             connections, poison.PoisonTable(_CRASH_THRESHOLD)
         )
--- a/packages/gateway/src/cassiahead_gateway/heartbeats.py
+++ b/packages/gateway/src/cassiahead_gateway/heartbeats.py
@@ -43,7 +43,8 @@
     Attributes:
         numbers: Numbers of the reports to the peer.
         sent_admissions: Counts of admissions that the peer has been told.
-        sent_sightings: Versions of sightings that the peer has been told.
+        sent_slow: Versions of the slow targets that the peer has been told.
+        sent_failing: The same for failing targets.
         is_ignored: Whether the peer has no use for the reports.
         process_name: Process whose reports are received.
         merged_number: Highest number of its reports that was merged.
@@ -51,7 +52,8 @@
 
     numbers: reported_counts.ReportNumbers
     sent_admissions: reported_counts.ReportedCounts
-    sent_sightings: reported_counts.ReportedCounts
+    sent_slow: reported_counts.ReportedCounts
+    sent_failing: reported_counts.ReportedCounts
     is_ignored: bool = False
     process_name: str = ""
     merged_number: int = 0
@@ -64,6 +66,7 @@
             numbers,
             reported_counts.ReportedCounts(numbers),
             reported_counts.ReportedCounts(numbers),
+            reported_counts.ReportedCounts(numbers),
         )
 
 
@@ -112,6 +115,7 @@
         gateway_state = self._gateway_state
         peers = gateway_state.peers
         lowest_group = peers.group_of(address) + 1
+        sightings = gateway_state.sightings
         own_leaving_count = 1 if self.is_leaving else 0
         report_state = self._report_state(address)
         report_state.numbers.advance()
@@ -138,8 +142,16 @@
             )
             if is_used
             else {},
-            slow_targets=self._lacking_sightings(
-                report_state, lowest_group - 1, now
+            slow_targets=_lacking_sightings(
+                sightings.slow, report_state.sent_slow, lowest_group - 1, now
+            )
+            if is_used
+            else [],
+            failing_targets=_lacking_sightings(
+                sightings.failing,
+                report_state.sent_failing,
+                lowest_group - 1,
+                now,
             )
             if is_used
             else [],
@@ -221,18 +233,23 @@
             has_started_since=heartbeat.uptime_s
             <= now - last_report_at + _SAME_START_WINDOW_S,
         )
-        gateway_state.sightings.merge(
-            group,
-            [
-                report
-                for report in heartbeat.slow_targets
-                if gateway_state.catalogue.knows_target(report.target)
-            ],
-            now,
-        )
+        self._merge_sightings(heartbeat, group, now)
         if is_merged:
             self._record_merged(heartbeat)
 
+    def _merge_sightings(
+        self, heartbeat: messages.Heartbeat, group: int, now: float
+    ) -> None:
+        """Merges a partner's sightings of targets that are known here."""
+        sightings = self._gateway_state.sightings
+        knows_target = self._gateway_state.catalogue.knows_target
+        for kind, reports in (
+            (sightings.slow, heartbeat.slow_targets),
+            (sightings.failing, heartbeat.failing_targets),
+        ):
+            known_reports = [r for r in reports if knows_target(r.target)]
+            kind.merge(group, known_reports, now)
+
     def _record_merged(self, heartbeat: messages.Heartbeat) -> None:
         """Notes a merged report, to acknowledge it in the next heartbeat."""
         report_state = self._report_state(heartbeat.address)
@@ -265,14 +282,6 @@
         )
         return report_state.sent_admissions.lacking(counts, is_full)
 
-    def _lacking_sightings(
-        self, report_state: _ReportState, group: int, now: float
-    ) -> list[target_sightings.SightingReport]:
-        sightings = self._gateway_state.sightings
-        versions = sightings.versions(group)
-        targets = report_state.sent_sightings.lacking(versions, False)
-        return sightings.reports(targets, group, now)
-
     def _crash_reports(
         self, is_full: bool, now: float
     ) -> list[poison.RelayedReport]:
@@ -314,3 +323,21 @@
                 revision=heartbeat.at,
                 fleet=peers.fleet_size(now),
             )
+
+
+def _lacking_sightings(
+    sightings: target_sightings.TargetSightings,
+    sent: reported_counts.ReportedCounts,
+    group: int,
+    now: float,
+) -> list[target_sightings.SightingReport]:
+    """Returns the sightings that a partner may lack.
+
+    Args:
+        sightings: All sightings of one kind.
+        sent: Versions of sightings that the partner has been told.
+        group: Group of the partner.
+        now: Time in seconds on this process's monotonic clock.
+    """
+    targets = sent.lacking(sightings.versions(group), False)
+    return sightings.reports(targets, group, now)
--- a/packages/gateway/src/cassiahead_gateway/messages.py
+++ b/packages/gateway/src/cassiahead_gateway/messages.py
@@ -36,7 +36,7 @@
 # is part of the protocol: both ends must have the same.
 _HEARTBEAT_DICTIONARY = (
     b'"ignores_reports":true,"crashes":[{"fingerprint":"","process":"",'
-    b'"number":,"count":,"ttl_s":}],"slow_targets":[{"target":"i-",'
+    b'"number":,"count":,"ttl_s":}],"failing_targets":[],"slow_targets":[{"target":"i-",'
     b'"first_s":0.,"last_s":0.,"hosts":1,"good_s":0.}],"addresses":["10."],"is_full":true,'
     b'"wants_full":true,"leaving":1,{"process":"front-","address":"10.",'
     b'"uptime_s":,"at":,"staying":,"fleet":,"reads":[{"process":"front-",'
@@ -106,6 +106,7 @@
         crashes: Crashes of targets that the fleet has detected lately.
         slow_targets: Targets that were seen to be slow lately, as far as the
             receiver may lack it.
+        failing_targets: As ``slow_targets``, of targets that lose answers.
     """
 
     process: str
@@ -127,6 +128,9 @@
     slow_targets: list[target_sightings.SightingReport] = attrs.field(
         factory=list
     )
+    failing_targets: list[target_sightings.SightingReport] = attrs.field(
+        factory=list
+    )
 
 
 @attrs.frozen
--- a/packages/gateway/src/cassiahead_gateway/target_observer.py
+++ b/packages/gateway/src/cassiahead_gateway/target_observer.py
@@ -22,7 +22,7 @@
     All times are seconds on this process's monotonic clock.
     """
 
-    _sightings: target_sightings.TargetSightings
+    _sightings: target_sightings.FleetSightings
 
     def observe_answer(
         self,
@@ -39,13 +39,14 @@
             latencies: Recent latencies of attempts on the same route.
             now: Current time.
         """
+        self._sightings.failing.record_good(target_id, now)
         median_s = latencies.median_s
         if median_s is None:
             return
         if latency_s > _SLOW_LATENCY_RATIO * median_s:
-            self._sightings.record_slow(target_id, now)
+            self._sightings.slow.record_bad(target_id, now)
         elif latency_s < _GOOD_LATENCY_RATIO * median_s:
-            self._sightings.record_good(target_id, now)
+            self._sightings.slow.record_good(target_id, now)
 
     def observe_wait(
         self,
@@ -64,8 +65,16 @@
         """
         median_s = latencies.median_s
         if median_s is not None and elapsed_s > _SLOW_LATENCY_RATIO * median_s:
-            self._sightings.record_slow(target_id, now)
+            self._sightings.slow.record_bad(target_id, now)
 
     def observe_failure(self, target_id: str, now: float) -> None:
-        """Records an attempt without a good answer."""
-        self._sightings.record_slow(target_id, now)
+        """Records a lost, broken or bad answer to a request that was sent."""
+        self._sightings.failing.record_bad(target_id, now)
+
+    def observe_no_connection(self, target_id: str, now: float) -> None:
+        """Records that a target could not be connected to.
+
+        Hosts that are cut off from the target see the same; the good answers
+        that other hosts get outweigh it.
+        """
+        self._sightings.slow.record_bad(target_id, now)
--- a/packages/gateway/src/cassiahead_gateway/target_selection.py
+++ b/packages/gateway/src/cassiahead_gateway/target_selection.py
@@ -30,9 +30,9 @@
 # and one of the target's slots. A host that rarely sends requests therefore
 # mostly returns to the targets that it has connections to.
 _UNCONNECTED_COST_FACTOR = 1.5
-# Cost factor of a target that the fleet has seen to be slow: it is chosen only
+# Cost factor of a target that the fleet has seen to be bad: it is chosen only
 # if all others are worse.
-_SLOW_TARGET_COST_FACTOR = 20.0
+_BAD_TARGET_COST_FACTOR = 20.0
 
 
 @attrs.frozen(eq=False)
@@ -66,7 +66,7 @@
     _connections: connection_table.ConnectionTable
     _replica_chooser: replicas.ReplicaChooser
     _cold_start_limiter: cold_start.ColdStartLimiter
-    _sightings: target_sightings.TargetSightings
+    _sightings: target_sightings.FleetSightings
     _fleet_size: Callable[[float], int]
 
     def choose(
@@ -205,6 +205,6 @@
         factor = 1.0
         if not self._connections.has_idle(target_id):
             factor *= _UNCONNECTED_COST_FACTOR
-        if self._sightings.is_slow(target_id, now):
-            factor *= _SLOW_TARGET_COST_FACTOR
+        if self._sightings.is_bad(target_id, now):
+            factor *= _BAD_TARGET_COST_FACTOR
         return factor
