Bound the sightings in a heartbeat and what is remembered of them

Cause: a heartbeat could list all targets of a large fleet, and the versions told to a partner were kept for targets that are long gone. Change: at most 50 sightings a heartbeat and kind; names without a count are forgotten once there are many.

--- a/packages/decisions/src/cassiahead_decisions/reported_counts.py
+++ b/packages/decisions/src/cassiahead_decisions/reported_counts.py
@@ -16,6 +16,9 @@
 
 __all__ = ["ReportNumbers", "ReportedCounts"]
 
+# Names without a count now that are remembered all the same.
+_MAX_MISSING_COUNT = 64
+
 
 @attrs.define
 class ReportNumbers:
@@ -72,7 +75,7 @@
     _changes: dict[str, _Change] = attrs.field(factory=dict)
 
     def lacking(
-        self, counts: Mapping[str, int], is_full: bool
+        self, counts: Mapping[str, int], is_full: bool, limit: int | None = None
     ) -> dict[str, int]:
         """Returns the counts for the report that was begun last.
 
@@ -80,9 +83,14 @@
             counts: All counts by name, or those that may have changed.
             is_full: Whether the report must contain all of them, since the peer
                 has lost what it was told.
+            limit: Highest number of counts in the report; the others are left
+                for later ones.
         """
+        self._forget_missing(counts)
         lacking_counts: dict[str, int] = {}
         for name, count in counts.items():
+            if limit is not None and len(lacking_counts) >= limit:
+                break
             change = self._changes.get(name)
             if change is None or count > change.count:
                 change = _Change(count, self._numbers.last)
@@ -90,3 +98,12 @@
             if is_full or change.report_number > self._numbers.acknowledged:
                 lacking_counts[name] = count
         return lacking_counts
+
+    def _forget_missing(self, counts: Mapping[str, int]) -> None:
+        """Forgets names that are no longer counted, once there are many."""
+        if len(self._changes) > 2 * len(counts) + _MAX_MISSING_COUNT:
+            self._changes = {
+                name: change
+                for name, change in self._changes.items()
+                if name in counts
+            }
--- a/packages/decisions/tests/test_reported_counts.py
+++ b/packages/decisions/tests/test_reported_counts.py
@@ -47,6 +47,26 @@
     assert _report(reported, numbers, {"a": 1}, is_full=True) == {"a": 1}
 
 
+def test_report_with_a_limit_leaves_the_rest_for_later() -> None:
+    numbers = reported_counts.ReportNumbers(0)
+    reported = reported_counts.ReportedCounts(numbers)
+    counts = {f"a{number}": 1 for number in range(10)}
+    told: list[str] = []
+    for _ in range(4):
+        numbers.advance()
+        told += reported.lacking(counts, False, limit=3)
+        numbers.acknowledge(numbers.last)
+    assert sorted(told) == sorted(counts)
+
+
+def test_names_without_a_count_are_forgotten() -> None:
+    numbers = reported_counts.ReportNumbers(0)
+    reported = reported_counts.ReportedCounts(numbers)
+    for number in range(1000):
+        _report(reported, numbers, {f"a{number}": 1})
+    assert len(reported._changes) < 100
+
+
 def test_acknowledgement_of_a_previous_process_is_ignored() -> None:
     numbers = reported_counts.ReportNumbers(1000)
     reported = reported_counts.ReportedCounts(numbers)
--- a/packages/gateway/src/cassiahead_gateway/heartbeats.py
+++ b/packages/gateway/src/cassiahead_gateway/heartbeats.py
@@ -32,6 +32,8 @@
 # Crashes are in heartbeats for this long after this process learned of them,
 # so that each partner gets them several times.
 _CRASH_REPORT_DURATION_S = 5.0
+# The others follow in later heartbeats.
+_MAX_SIGHTINGS_PER_HEARTBEAT = 50
 # Bits of the random number after which the numbers of reports begin.
 _REPORT_NUMBER_BITS = 32
 
@@ -339,5 +341,7 @@
         group: Group of the partner.
         now: Time in seconds on this process's monotonic clock.
     """
-    targets = sent.lacking(sightings.versions(group), False)
+    targets = sent.lacking(
+        sightings.versions(group), False, _MAX_SIGHTINGS_PER_HEARTBEAT
+    )
     return sightings.reports(targets, group, now)
