--- a/packages/decisions/src/cassiahead_decisions/replica_policies.py
+++ b/packages/decisions/src/cassiahead_decisions/replica_policies.py
@@ -15,6 +15,7 @@
     "TwoChoices",
     "WeightedRandom",
     "draw_index",
+    "penalties_s",
 ]
 
 # Added to the cost of a replica in another failure domain, in seconds of
@@ -59,6 +60,22 @@
 Policy = TwoChoices | WeightedRandom
 
 
+def penalties_s(policy: Policy) -> tuple[float, float]:
+    """Returns the penalties of a policy, in seconds of latency.
+
+    Returns:
+        The cost of another failure domain and that of a bad answer.
+    """
+    match policy:
+        case WeightedRandom(
+            cross_domain_penalty_s=cross_domain_penalty_s,
+            bad_answer_penalty_s=bad_answer_penalty_s,
+        ):
+            return cross_domain_penalty_s, bad_answer_penalty_s
+        case TwoChoices():
+            return CROSS_DOMAIN_PENALTY_S, 0.0
+
+
 def draw_index(weights: list[float], rng: random.Random) -> int:
     """Draws an index with a probability proportional to its weight.
 
--- a/packages/decisions/src/cassiahead_decisions/replicas.py
+++ b/packages/decisions/src/cassiahead_decisions/replicas.py
@@ -362,15 +362,9 @@
         self, candidates: list[_Candidate], in_panic_mode: bool, now: float
     ) -> list[float]:
         """Returns the cost of each candidate in seconds of latency."""
-        bad_answer_penalty_s = 0.0
-        match self._policy:
-            case WeightedRandom(
-                cross_domain_penalty_s=cross_domain_penalty_s,
-                bad_answer_penalty_s=bad_answer_penalty_s,
-            ):
-                pass
-            case TwoChoices():
-                cross_domain_penalty_s = replica_policies.CROSS_DOMAIN_PENALTY_S
+        cross_domain_penalty_s, bad_answer_penalty_s = (
+            replica_policies.penalties_s(self._policy)
+        )
         # The expected latency decays without new latencies, but not below the
         # lowest latency of the candidates: a target that answers nothing must
         # not appear fast.
