--- a/packages/decisions/src/cassiahead_decisions/peer_table.py
+++ b/packages/decisions/src/cassiahead_decisions/peer_table.py
@@ -17,6 +17,7 @@
 
 import attrs
 
+from cassiahead_decisions import group_sizes
 from cassiahead_decisions import peer_groups
 from cassiahead_decisions import rendezvous
 
@@ -25,12 +26,6 @@
 
 __all__ = ["Peer", "PeerTable"]
 
-# A peer without a heartbeat for this long is unreachable: it has missed two
-# heartbeats of an idle fleet.
-_REACHABLE_TIMEOUT_S = 2.5
-# The largest size of a group within about this time counts as its size: a part
-# of the fleet that is out of reach goes on using its share of the limits.
-_SIZE_RETENTION_S = 30.0
 # The fleet size that peers report counts this long after the start, until this
 # process has reports of all groups.
 _JOIN_DURATION_S = 5.0
@@ -75,105 +70,6 @@
     retry_at: float
 
 
-@attrs.define
-class _RetainedCount:
-    """Highest value of a count within about the last 30 s.
-
-    Attributes:
-        count: The last value.
-        recorded_at: Time of the last value.
-        window_started_at: Start of the current window.
-        max_count: Highest value of the current window.
-        previous_max_count: Highest value of the window before.
-    """
-
-    count: int
-    recorded_at: float
-    window_started_at: float
-    max_count: int
-    previous_max_count: int = 0
-
-    @classmethod
-    def at_start(cls, count: int, now: float) -> _RetainedCount:
-        """Creates the count with its first value."""
-        return cls(count, now, now, count)
-
-    def record(self, count: int, now: float) -> None:
-        """Records a value."""
-        self._rotate(now)
-        self.count = count
-        self.recorded_at = now
-        self.max_count = max(self.max_count, count)
-
-    def lower(self, difference: int) -> None:
-        """Lowers the retained values."""
-        self.max_count -= difference
-        self.previous_max_count -= difference
-
-    def highest(self, now: float) -> int:
-        """Returns the highest value of about the last 30 s."""
-        self._rotate(now)
-        return max(self.max_count, self.previous_max_count)
-
-    def _rotate(self, now: float) -> None:
-        window_s = _SIZE_RETENTION_S / 2
-        elapsed_s = now - self.window_started_at
-        if elapsed_s < window_s:
-            return
-        is_recent = now - self.recorded_at < window_s
-        current_count = self.count if is_recent else 0
-        self.previous_max_count = (
-            self.max_count if elapsed_s < 2 * window_s else current_count
-        )
-        self.max_count = current_count
-        self.window_started_at = now
-
-
-@attrs.define
-class _GroupSize:
-    """Number of members of a group.
-
-    Attributes:
-        reported_at: Time of the last report.
-        leaving_count: Members that were shutting down then.
-        members: All members, also those that were shutting down.
-        staying: Members that were not shutting down. Those that shut down in an
-            orderly way are not retained.
-    """
-
-    reported_at: float
-    leaving_count: int
-    members: _RetainedCount
-    staying: _RetainedCount
-
-    @classmethod
-    def from_report(
-        cls, staying_count: int, leaving_count: int, now: float
-    ) -> _GroupSize:
-        """Creates the size with its first report."""
-        return cls(
-            now,
-            leaving_count,
-            _RetainedCount.at_start(staying_count + leaving_count, now),
-            _RetainedCount.at_start(staying_count, now),
-        )
-
-    def record(
-        self, staying_count: int, leaving_count: int, now: float
-    ) -> None:
-        """Records a report."""
-        self.reported_at = now
-        self.members.record(staying_count + leaving_count, now)
-        newly_leaving_count = max(0, leaving_count - self.leaving_count)
-        self.leaving_count = leaving_count
-        self.staying.lower(newly_leaving_count)
-        self.staying.record(staying_count, now)
-
-    def is_reachable(self, now: float) -> bool:
-        """Returns whether there was a report lately."""
-        return now - self.reported_at < _REACHABLE_TIMEOUT_S
-
-
 @attrs.define
 class PeerTable:
     """The addresses, peers and groups that one process knows.
@@ -191,7 +87,7 @@
     # Addresses of each group, the nearest first.
     _addresses_by_group: dict[int, list[str]] = attrs.field(factory=dict)
     _failures_by_address: dict[str, _Failures] = attrs.field(factory=dict)
-    _size_by_group: dict[int, _GroupSize] = attrs.field(factory=dict)
+    _size_by_group: dict[int, group_sizes.GroupSize] = attrs.field(factory=dict)
     _seeds: set[str] = attrs.field(factory=set)
     _reported_fleet_size: int = 1
 
@@ -262,7 +158,7 @@
         """
         size = self._size_by_group.get(group)
         if size is None:
-            self._size_by_group[group] = _GroupSize.from_report(
+            self._size_by_group[group] = group_sizes.GroupSize.from_report(
                 staying_count, leaving_count, now
             )
         else:
@@ -351,7 +247,7 @@
         return [
             p
             for p in self._peer_by_address.values()
-            if now - p.last_heartbeat_at < _REACHABLE_TIMEOUT_S
+            if now - p.last_heartbeat_at < group_sizes.REACHABLE_TIMEOUT_S
         ]
 
     def rank(self, resource: str) -> int:
