--- a/packages/ctl/src/cassiactl/request_timeline.py
+++ b/packages/ctl/src/cassiactl/request_timeline.py
@@ -39,6 +39,8 @@
         "CONFIGURATION_APPLIED",
         "DOMAIN_TAKEN_OUT",
         "DOMAIN_RETURNED",
+        "TARGETS_BAD",
+        "TARGETS_GOOD",
         "READING_BEGUN",
         "READING_ENDED",
         "READ_FAILED",
--- a/packages/ctl/tests/test_commands.py
+++ b/packages/ctl/tests/test_commands.py
@@ -148,6 +148,7 @@
         log_line(98.0, "TARGET_GONE", target="i-1", service="s1"),
         log_line(98.1, "TARGET_GONE", target="i-9", service="other"),
         log_line(99.0, "PEER_LOST", peer="h2", heard=3),
+        log_line(99.5, "TARGETS_BAD", targets=["i-1"], avoided=1),
         "no event",
         log_line(
             100.02,
@@ -176,6 +177,7 @@
             reason="closed",
         ),
         log_line(99.6, "PEER_LOST", peer="h1", heard=3),
+        log_line(99.7, "TARGETS_BAD", targets=["i-2"], avoided=1),
     ]
     paths = []
     for host, lines in (("h1", serving_host_lines), ("h2", other_host_lines)):
@@ -201,11 +203,13 @@
     assert output_lines[3] == "outcome: REQUEST_ANSWERED 200: answered"
     assert output_lines[4] == "other requests at s1: 1 x closed"
     # Not printed: the PEER_LOST event long before the request, the event of
-    # another service, and the PEER_LOST event that another host logged.
+    # another service, and the events about peers and bad targets that another
+    # host logged.
     context_lines = output_lines[6:]
     assert [line.split()[3:5] for line in context_lines] == [
         ["TARGET_GONE", "target=i-1"],
         ["PEER_LOST", "peer=h2"],
+        ["TARGETS_BAD", "targets=['i-1']"],
     ]
 
 
