--- a/packages/daemon/src/cassiahead_daemon/daemon_state.py
+++ b/packages/daemon/src/cassiahead_daemon/daemon_state.py
@@ -18,7 +18,7 @@
 from cassiahead_protocol import api
 from cassiahead_telemetry import events
 from cassiahead_wire import clock
-from cassiahead_wire import connection as connection_lib
+from cassiahead_wire import connection_pool as connection_pool_lib
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -65,8 +65,8 @@
     # Time at which the daemon last began to drain, or its failure domain was
     # taken out, in seconds of ``clock.monotonic``; None while it is available.
     _leaving_since: float | None = None
-    _connection_pools: dict[str, connection_lib.ConnectionPool] = attrs.field(
-        factory=dict
+    _connection_pools: dict[str, connection_pool_lib.ConnectionPool] = (
+        attrs.field(factory=dict)
     )
 
     @classmethod
@@ -168,15 +168,17 @@
         leaving_s = clock.monotonic() - self._leaving_since
         return reason if leaving_s >= self.settings.balancer_wait_s else None
 
-    def connection_pool(self, address: str) -> connection_lib.ConnectionPool:
+    def connection_pool(
+        self, address: str
+    ) -> connection_pool_lib.ConnectionPool:
         """Returns the connection pool for another daemon.
 
         Args:
             address: Address at which the daemon serves other daemons.
         """
         if address not in self._connection_pools:
-            self._connection_pools[address] = connection_lib.ConnectionPool(
-                address
+            self._connection_pools[address] = (
+                connection_pool_lib.ConnectionPool(address)
             )
         return self._connection_pools[address]
 
@@ -208,5 +210,5 @@
 
     def close(self) -> None:
         """Closes the connections to other daemons."""
-        for connection_pool in self._connection_pools.values():
-            connection_pool.close()
+        for pool in self._connection_pools.values():
+            pool.close()
--- a/packages/gateway/src/cassiahead_gateway/heartbeat_exchanger.py
+++ b/packages/gateway/src/cassiahead_gateway/heartbeat_exchanger.py
@@ -25,6 +25,7 @@
 from cassiahead_telemetry import events
 from cassiahead_wire import clock
 from cassiahead_wire import connection as connection_lib
+from cassiahead_wire import connection_pool
 
 __all__ = ["HeartbeatExchanger"]
 
@@ -47,7 +48,7 @@
         is_busy: Whether a heartbeat is in flight.
     """
 
-    pool: connection_lib.ConnectionPool
+    pool: connection_pool.ConnectionPool
     contact: heartbeat_schedule.Contact = attrs.field(
         factory=heartbeat_schedule.Contact
     )
@@ -200,7 +201,7 @@
     def _channel(self, address: str) -> _PeerChannel:
         channel = self._channel_by_address.get(address)
         if channel is None:
-            channel = _PeerChannel(connection_lib.ConnectionPool(address))
+            channel = _PeerChannel(connection_pool.ConnectionPool(address))
             self._channel_by_address[address] = channel
         return channel
 
--- a/packages/gateway/src/cassiahead_gateway/record_fetcher.py
+++ b/packages/gateway/src/cassiahead_gateway/record_fetcher.py
@@ -18,6 +18,7 @@
 from cassiahead_telemetry import events
 from cassiahead_wire import clock
 from cassiahead_wire import connection as connection_lib
+from cassiahead_wire import connection_pool
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -133,7 +134,7 @@
     async def _fetch_once(self, address: str) -> bool:
         """Fetches from one peer; returns whether records were applied."""
         after = self._gateway_state.catalogue.revision
-        pool = connection_lib.ConnectionPool(address)
+        pool = connection_pool.ConnectionPool(address)
         request = messages.encode(messages.RecordsRequest(after))
         try:
             body = await _post(pool, request)
@@ -220,7 +221,7 @@
         return body
 
 
-async def _post(pool: connection_lib.ConnectionPool, request: bytes) -> bytes:
+async def _post(pool: connection_pool.ConnectionPool, request: bytes) -> bytes:
     """Sends a request for records; returns the body of the reply.
 
     Raises:
--- a/packages/gateway/tests/test_record_fetcher.py
+++ b/packages/gateway/tests/test_record_fetcher.py
@@ -20,6 +20,7 @@
 from cassiahead_gateway import settings
 from cassiahead_wire import clock
 from cassiahead_wire import connection as connection_lib
+from cassiahead_wire import connection_pool
 
 if TYPE_CHECKING:
     import pytest
@@ -71,7 +72,7 @@
         await asyncio.sleep(_FOREVER_S)
         raise AssertionError
 
-    monkeypatch.setattr(connection_lib.ConnectionPool, "post", post)
+    monkeypatch.setattr(connection_pool.ConnectionPool, "post", post)
 
     async def main() -> None:
         gateway_state = _gateway_state()
--- a/packages/gateway/tests/virtual_gateways.py
+++ b/packages/gateway/tests/virtual_gateways.py
@@ -33,6 +33,7 @@
 from cassiahead_gateway import settings as settings_lib
 from cassiahead_wire import clock
 from cassiahead_wire import connection as connection_lib
+from cassiahead_wire import connection_pool
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -375,7 +376,7 @@
     ) -> connection_lib.Response:
         return await fleet.post(pool._address, path, body, timeout_s)
 
-    monkeypatch.setattr(connection_lib.ConnectionPool, "post", post)
+    monkeypatch.setattr(connection_pool.ConnectionPool, "post", post)
 
     def on_failure(loop: asyncio.AbstractEventLoop, context: Any) -> None:
         fleet.failures.append(
--- a/packages/wire/src/cassiahead_wire/connection.py
+++ b/packages/wire/src/cassiahead_wire/connection.py
@@ -33,13 +33,11 @@
 
 __all__ = [
     "Connection",
-    "ConnectionPool",
     "FailureKind",
     "Response",
     "TransportError",
 ]
 
-_MAX_POOLED_IDLE_S = 5.0
 _DISCARDED_CHUNK_BYTES = 64 * 1024
 
 FailureKind = transport_errors.FailureKind
@@ -354,72 +352,6 @@
             self._response_task.cancel()
 
 
-class ConnectionPool:
-    """A pool of idle connections to one address of a peer."""
-
-    def __init__(self, address: str, connect_timeout_s: float = 0.3) -> None:
-        """Creates an empty pool.
-
-        Args:
-            address: ``IP:port`` of the peer.
-            connect_timeout_s: Seconds until a new connection must be
-                established.
-        """
-        self._address = address
-        self._connect_timeout_s = connect_timeout_s
-        self._idle: list[Connection] = []
-
-    async def post(
-        self,
-        path: str,
-        body: bytes,
-        timeout_s: float,
-        on_data: Callable[[bytes], None] | None = None,
-    ) -> Response:
-        """Sends a POST request over an idle or a new connection.
-
-        Args:
-            path: Path with query.
-            body: Request body.
-            timeout_s: Seconds until the response must be complete, once
-                connected. It also bounds the time to connect.
-            on_data: Called with each piece of the response body as it arrives;
-                the body of the returned response is then empty.
-
-        Raises:
-            TransportError: If the connect failed, or no complete response
-                arrived in time.
-        """
-        connection = self._take_idle() or await Connection.open(
-            self._address, min(timeout_s, self._connect_timeout_s)
-        )
-        try:
-            response = await connection.request(
-                "POST", path, body, timeout_s, on_data=on_data
-            )
-        except BaseException:
-            connection.close()
-            raise
-        if connection.is_usable:
-            self._idle.append(connection)
-        return response
-
-    def close(self) -> None:
-        """Closes all idle connections."""
-        for connection in self._idle:
-            connection.close()
-        self._idle.clear()
-
-    def _take_idle(self) -> Connection | None:
-        while self._idle:
-            connection = self._idle.pop()
-            idle_s = clock.monotonic() - connection.last_used_at
-            if connection.is_usable and idle_s < _MAX_POOLED_IDLE_S:
-                return connection
-            connection.close()
-        return None
-
-
 def _to_http_headers(
     headers: httputil.HTTPHeaders | Mapping[str, str] | None,
 ) -> httputil.HTTPHeaders:
