--- a/packages/gateway/src/cassiahead_gateway/heartbeats.py
+++ b/packages/gateway/src/cassiahead_gateway/heartbeats.py
@@ -32,7 +32,7 @@
 # Crashes are in heartbeats for this long after this process learned of them,
 # so that each partner gets them several times.
 _CRASH_REPORT_DURATION_S = 5.0
-# The others follow in later heartbeats.
+# Of each kind; the others follow in later heartbeats.
 _MAX_SIGHTINGS_PER_HEARTBEAT = 50
 # Bits of the random number after which the numbers of reports begin.
 _REPORT_NUMBER_BITS = 32
@@ -40,7 +40,7 @@
 
 @attrs.define
 class _ReportState:
-    """Reports of admissions and slow targets exchanged with one address.
+    """Reports of admissions and bad targets exchanged with one address.
 
     Attributes:
         numbers: Numbers of the reports to the peer.
@@ -116,7 +116,9 @@
         """
         gateway_state = self._gateway_state
         peers = gateway_state.peers
-        lowest_group = peers.group_of(address) + 1
+        group = peers.group_of(address)
+        # The peer knows its own part of the fleet from others.
+        lowest_group = group + 1
         sightings = gateway_state.sightings
         own_leaving_count = 1 if self.is_leaving else 0
         report_state = self._report_state(address)
@@ -145,14 +147,14 @@
             if is_used
             else {},
             slow_targets=_lacking_sightings(
-                sightings.slow, report_state.sent_slow, lowest_group - 1, now
+                sightings.slow, report_state.sent_slow, group, now
             )
             if is_used
             else [],
             failing_targets=_lacking_sightings(
                 sightings.failing,
                 report_state.sent_failing,
-                lowest_group - 1,
+                group,
                 now,
             )
             if is_used
