End a planned stop before the process is killed

Change: the connections that are left are closed halfway through the margin for the last replies. Result: the test of the schedule demands it.

--- a/packages/decisions/src/cassiahead_decisions/drain_schedule.py
+++ b/packages/decisions/src/cassiahead_decisions/drain_schedule.py
@@ -40,6 +40,7 @@
         close_idle_at: When connections without a request are closed.
         answer_all_at: When each request still unanswered gets the answer that
             is possible then.
+        close_all_at: When the connections that are still open are closed.
         kill_at: When the process is killed.
     """
 
@@ -47,6 +48,7 @@
     accept_all_until: float
     close_idle_at: float
     answer_all_at: float
+    close_all_at: float
     kill_at: float
 
     @classmethod
@@ -67,6 +69,7 @@
             min(stop_listening_at + _FIRST_REQUEST_DELAY_S, answer_all_at),
             min(signalled_at + _IDLE_CONNECTIONS_S, answer_all_at),
             answer_all_at,
+            answer_all_at + margin_s / 2,
             signalled_at + grace_s,
         )
 
--- a/packages/decisions/tests/test_drain_schedule.py
+++ b/packages/decisions/tests/test_drain_schedule.py
@@ -31,6 +31,7 @@
             < schedule.stop_listening_at
             <= schedule.accept_all_until
             <= schedule.answer_all_at
+            < schedule.close_all_at
             < schedule.kill_at
         )
         assert schedule.close_idle_at <= schedule.answer_all_at
--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -223,7 +223,7 @@
             schedule.answer_all_at, schedule.close_idle_at
         )
         self._request_handler.stop_all()
-        await self._wait_for_connections(schedule.kill_at, -math.inf)
+        await self._wait_for_connections(schedule.close_all_at, -math.inf)
 
     async def _wait_for_connections(
         self, until: float, close_idle_at: float
