--- a/packages/gateway/src/cassiahead_gateway/scatter_gather.py
+++ b/packages/gateway/src/cassiahead_gateway/scatter_gather.py
@@ -34,7 +34,7 @@
 _SHARD_CAPACITY_WAIT_FRACTION = 1.0
 # Time between rounds of late hedges, as a fraction of the latency objective.
 _HEDGE_ROUND_INTERVAL_FRACTION = 0.15
-# Number of rounds of late hedges after the first, if enough shards answer.
+# Number of rounds of late hedges after the first.
 _EXTRA_HEDGE_ROUND_COUNT = 3
 # Time for which a hedge waits for an answer whose first bytes have arrived. The
 # answer may have been cut off, so the wait is short.
@@ -220,38 +220,34 @@
         early_delay_s, late_delay_s = self._gateway_state.hedge_delays(route)
         self._completion.call_later(
             early_delay_s,
-            self._hedge_calls,
-            self._calls,
+            self._hedge_shards,
             request_operation.EARLY_HEDGE_KEPT_FRACTION,
-            True,
+            0,
+        )
+        self._completion.call_later(
+            late_delay_s,
+            self._hedge_shards,
+            request_operation.LATE_HEDGE_KEPT_FRACTION,
+            _EXTRA_HEDGE_ROUND_COUNT,
         )
-        self._completion.call_later(late_delay_s, self._hedge_late_shards, 0)
         self._completion.call_later(soft_deadline - now, self._on_soft_deadline)
         self._completion.call_later(
             self._request.deadline - now, self._completion.finish
         )
 
-    def _hedge_late_shards(self, round_number: int) -> None:
-        """Hedges the shards without an answer, and plans the next round.
-
-        From the second round on, the shards that the required coverage needs
-        may use the whole budget, as retries may: without them the search fails
-        or comes late. There are further rounds until enough shards have
-        answered.
-        """
-        is_short = self._answered_count < self._required_shard_count
-        kept_fraction = (
-            0.0
-            if is_short and round_number > 0
-            else request_operation.LATE_HEDGE_KEPT_FRACTION
-        )
+    def _hedge_shards(
+        self, kept_fraction: float, remaining_round_count: int
+    ) -> None:
         self._hedge_calls(self._calls, kept_fraction, True)
-        if is_short or round_number < _EXTRA_HEDGE_ROUND_COUNT:
+        if remaining_round_count > 0:
             delay_s = (
                 _HEDGE_ROUND_INTERVAL_FRACTION * self._route.latency_objective_s
             )
             self._completion.call_later(
-                delay_s, self._hedge_late_shards, round_number + 1
+                delay_s,
+                self._hedge_shards,
+                kept_fraction,
+                remaining_round_count - 1,
             )
 
     def _hedge_calls(
