Go by the sightings of others only where targets are asked rarely

Hosts that ask each target several times a second avoided targets together, and for longer than their own results would have had them. Change: a host that gets over one answer a second and target goes by its own results. The new test fails without the change (no such method); it holds the rates of the small site and of a large one.

--- a/packages/decisions/src/cassiahead_decisions/target_sightings.py
+++ b/packages/decisions/src/cassiahead_decisions/target_sightings.py
@@ -55,6 +55,10 @@
 # Weight of an answer in the moving average of the fraction of bad ones: that
 # of about the last 50.
 _BAD_FRACTION_SMOOTHING = 0.02
+# Answers a second and target from which on a host learns sooner by itself than
+# from others, and goes by its own results only.
+_MAX_ANSWERS_PER_TARGET_S = 1.0
+_ANSWER_RATE_TIME_CONSTANT_S = 5.0
 # Sightings that differ by less time count as the same, and are told once.
 _REPORT_RESOLUTION_S = 0.3
 
@@ -339,6 +343,8 @@
 
     slow: TargetSightings
     failing: TargetSightings
+    _answers_per_s: float = 0.0
+    _answered_at: float = -math.inf
 
     @classmethod
     def at_start(cls, rng: random.Random) -> FleetSightings:
@@ -348,6 +354,30 @@
             TargetSightings(rng, _MIN_FAILING_FRACTION, False),
         )
 
+    def record_answer(self, now: float) -> None:
+        """Counts an attempt that has ended, with a good answer or not."""
+        self._answers_per_s = (
+            self.answers_per_s(now) + 1 / _ANSWER_RATE_TIME_CONSTANT_S
+        )
+        self._answered_at = now
+
+    def answers_per_s(self, now: float) -> float:
+        """Returns the recent rate of attempts that have ended."""
+        elapsed_s = max(0.0, now - self._answered_at)
+        return self._answers_per_s * math.exp(
+            -elapsed_s / _ANSWER_RATE_TIME_CONSTANT_S
+        )
+
+    def are_needed(self, target_count: int, now: float) -> bool:
+        """Returns whether this process should go by the sightings of others.
+
+        Args:
+            target_count: Number of targets that share the requests.
+            now: Current time.
+        """
+        max_answers_per_s = _MAX_ANSWERS_PER_TARGET_S * max(1, target_count)
+        return self.answers_per_s(now) < max_answers_per_s
+
     def is_bad(self, target: str, now: float) -> bool:
         """Returns whether this process should avoid a target."""
         return self.slow.is_bad(target, now) or self.failing.is_bad(target, now)
--- a/packages/decisions/tests/test_target_sightings.py
+++ b/packages/decisions/tests/test_target_sightings.py
@@ -306,3 +306,14 @@
     while fleet._events:
         _, _, action = heapq.heappop(fleet._events)
         action()  # type: ignore[operator]
+
+
+def test_host_that_asks_each_target_often_goes_by_its_own_results() -> None:
+    # On a small, busy fleet the hosts avoided targets together for so long that
+    # the others could not serve all searches.
+    for answers_per_s, are_needed in ((130, False), (12, True)):
+        sightings = target_sightings.FleetSightings.at_start(random.Random(1))
+        for number in range(10 * answers_per_s):
+            sightings.record_answer(100.0 + number / answers_per_s)
+        assert sightings.are_needed(36, 110.0) is are_needed
+        assert sightings.are_needed(36, 200.0)
--- a/packages/gateway/src/cassiahead_gateway/target_observer.py
+++ b/packages/gateway/src/cassiahead_gateway/target_observer.py
@@ -39,6 +39,7 @@
             latencies: Recent latencies of attempts on the same route.
             now: Current time.
         """
+        self._sightings.record_answer(now)
         self._sightings.failing.record_good(target_id, now)
         median_s = latencies.median_s
         if median_s is None:
@@ -63,12 +64,14 @@
             latencies: Recent latencies of attempts on the same route.
             now: Current time.
         """
+        self._sightings.record_answer(now)
         median_s = latencies.median_s
         if median_s is not None and elapsed_s > _SLOW_LATENCY_RATIO * median_s:
             self._sightings.slow.record_bad(target_id, now)
 
     def observe_failure(self, target_id: str, now: float) -> None:
         """Records a lost, broken or bad answer to a request that was sent."""
+        self._sightings.record_answer(now)
         self._sightings.failing.record_bad(target_id, now)
 
     def observe_no_connection(self, target_id: str, now: float) -> None:
--- a/packages/gateway/src/cassiahead_gateway/target_selection.py
+++ b/packages/gateway/src/cassiahead_gateway/target_selection.py
@@ -205,6 +205,8 @@
         factor = 1.0
         if not self._connections.has_idle(target_id):
             factor *= _UNCONNECTED_COST_FACTOR
-        if self._sightings.is_bad(target_id, now):
+        if self._sightings.is_bad(
+            target_id, now
+        ) and self._sightings.are_needed(self._catalogue.target_count, now):
             factor *= _BAD_TARGET_COST_FACTOR
         return factor
