--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -356,7 +356,11 @@
 
     def _log_bad_targets(self, now: float) -> None:
         """Logs the targets that are avoided from now on, or no longer."""
-        bad_targets = self._gateway_state.sightings.bad_targets(now)
+        sightings = self._gateway_state.sightings
+        target_count = self._gateway_state.catalogue.target_count
+        bad_targets: set[str] = set()
+        if sightings.are_needed(target_count, now):
+            bad_targets = sightings.bad_targets(now)
         previous_targets, self._bad_targets = self._bad_targets, bad_targets
         for event, targets in (
             (events.Event.TARGETS_BAD, bad_targets - previous_targets),
