--- a/packages/decisions/tests/test_target_sightings.py
+++ b/packages/decisions/tests/test_target_sightings.py
@@ -216,7 +216,9 @@
     return sum(1 for at in fleet.sent_at if at >= since)
 
 
-@pytest.mark.parametrize(("host_count", "seeds"), [(8, (1, 2, 3)), (64, (1,))])
+@pytest.mark.parametrize(
+    ("host_count", "seeds"), [(8, (1,)), (8, (1, 2, 3)), (64, (1,))]
+)
 def test_fleet_avoids_targets_that_turn_slow(
     host_count: int, seeds: tuple[int, ...]
 ) -> None:
