--- a/review/standins.py
+++ b/review/standins.py
@@ -31,6 +31,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+_HISTORY_S = 20.0
+# Longer values are cut off in the record.
+_SHOWN_CHARACTERS = 1500
 _STARTED_AT = time.monotonic()
 
 
@@ -187,6 +190,8 @@
         self._revision = 1
         self._items: dict[str, dict[str, Any]] = {}
         self._events: list[dict[str, Any]] = []
+        self._event_times: list[float] = []
+        self._history_begins_after = 0
         self._changed = asyncio.Event()
         self.is_silent = False
         self.server = Server(self._handle)
@@ -204,7 +209,9 @@
         }
         self._items[key] = item
         self._publish(item)
-        self._record.write(f"store acknowledges {key} {text}")
+        self._record.write(
+            f"store acknowledges {key} {text[:_SHOWN_CHARACTERS]}"
+        )
 
     def delete(self, key: str) -> None:
         """Deletes an item."""
@@ -215,6 +222,7 @@
 
     def _publish(self, event: dict[str, Any]) -> None:
         self._events.append(event)
+        self._event_times.append(time.monotonic())
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -227,6 +235,10 @@
             if url.path == "/-/kv-range":
                 document = self._range(query)
             elif url.path == "/-/kv-watch":
+                self._drop_history()
+                if int(query["after"]) < self._history_begins_after:
+                    writer.write(response_bytes(410, {}))
+                    continue
                 document = await self._watch(query)
             else:
                 writer.write(response_bytes(404, {}))
@@ -258,6 +270,14 @@
                     await changed.wait()
         return {"events": self._events_after(after), "at": self._revision}
 
+    def _drop_history(self) -> None:
+        """Drops the changes that are older than ``historyS``."""
+        begins_at = time.monotonic() - _HISTORY_S
+        while self._event_times and self._event_times[0] < begins_at:
+            del self._event_times[0]
+            event = self._events.pop(0)
+            self._history_begins_after = event["revision"]
+
     def _events_after(self, revision: int) -> list[dict[str, Any]]:
         return [e for e in self._events if e["revision"] > revision]
 
@@ -461,7 +481,10 @@
         """Chooses the ports of a gateway that isn't started yet."""
         self._record = record
         self._folder = folder
-        self._ip = f"127.0.0.{10 + number}"
+        # The metrics port is the same for all gateways, so each has an address
+        # of its own, also beside other scripts.
+        script, block = os.getpid() % 250 + 1, os.getpid() // 250 % 250 + 1
+        self._ip = f"127.{block}.{script}.{10 + number}"
         self.name = f"front-{number}"
         self.callers = f"{self._ip}:{free_port(self._ip)}"
         self.readiness = f"{self._ip}:{free_port(self._ip)}"
@@ -554,6 +577,16 @@
             return False
         return message is not None and message.status == 200
 
+    async def is_reading(self) -> bool:
+        """Returns whether the process reads the store, by its metrics."""
+        reader, writer = await asyncio.open_connection(self._ip, 9464)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        message = await read_message(reader)
+        writer.close()
+        assert message is not None
+        pattern = rb"^cassiahead_reading(\{.*\})? 1\.0$"
+        return re.search(pattern, message.body, re.MULTILINE) is not None
+
     async def wait_ready(self) -> None:
         """Waits until the process says that it is ready.
 
