--- a/review/standins.py
+++ b/review/standins.py
@@ -15,6 +15,7 @@
 import os
 import pathlib
 import re
+import signal
 import socket
 import tempfile
 import time
@@ -26,7 +27,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
-    import signal
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -674,6 +674,9 @@
         folder: Folder of the case, for ``record.txt``.
         case: Returns whether the rule was broken.
     """
+    # A gateway would inherit an ignored SIGHUP, for instance from nohup. The
+    # platform starts it with the default action.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     record = Record(folder)
     record.write(f"trouble: {TROUBLE}")
 
