--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -186,23 +186,42 @@
     """Resets a connection."""
     sock = writer.get_extra_info("socket")
     if sock is not None:
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
+        with contextlib.suppress(OSError):
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
     writer.transport.abort()
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """What a store held at one moment."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    events: list[dict[str, Any]]
+
+
 @dataclasses.dataclass(eq=False)
 class Store:
-    """The platform's metadata store, as the pages describe its reads."""
+    """The platform's metadata store, as the pages describe its reads.
+
+    Attributes:
+        era: Number of times that it came back from a copy; sent in all answers
+            after the first time.
+        is_away: Whether it resets all connections and calls.
+    """
 
     record: Record
     revision: int = 1
     address: str = ""
+    era: int = 0
+    is_away: bool = False
     _items: dict[str, dict[str, Any]] = dataclasses.field(default_factory=dict)
     _events: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     _changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
 
     async def start(self) -> None:
         """Listens on a free port."""
@@ -237,6 +256,26 @@
             f"store: acknowledged configuration {document['version']}"
         )
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of what the store holds now."""
+        return StoreCopy(self.revision, dict(self._items), list(self._events))
+
+    def go_away(self) -> None:
+        """Resets all connections, and new calls until the return."""
+        self.is_away = True
+        for writer in list(self._writers):
+            reset(writer)
+        self.record.add("store: away")
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Comes back from a copy: what was written since is lost."""
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._events = list(copy.events)
+        self.is_away = False
+        self.record.add(f"store: back, era {self.era}")
+
     def _publish(self, event: dict[str, Any]) -> None:
         self._events.append(event)
         changed, self._changed = self._changed, asyncio.Event()
@@ -245,16 +284,24 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
+            while not self.is_away:
                 request = await read_request(reader)
                 path, _, query = request.path.decode().partition("?")
                 fields = dict(parse.parse_qsl(query, keep_blank_values=True))
                 status, document = await self._call(path, fields)
-                body = json.dumps(document).encode()
+                if self.is_away:
+                    break
                 headers = {"Content-Type": "application/json"}
+                if self.era:
+                    headers["Store-Era"] = str(self.era)
+                body = json.dumps(document).encode()
                 writer.write(response_bytes(status, headers, body))
                 await writer.drain()
+        self._writers.discard(writer)
+        if self.is_away:
+            reset(writer)
         writer.close()
 
     async def _call(
@@ -264,6 +311,8 @@
         if path == "/-/kv-range":
             return 200, self._page(fields)
         if path == "/-/kv-watch":
+            if int(fields["after"]) > self.revision:
+                return 410, {}
             return 200, await self._watch(fields)
         if path == "/-/kv-key" and fields.get("key") in self._items:
             return 200, self._items[fields["key"]]
