--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 	PYTHONPATH=packages/daemon/tests $(PYTHON) -m standins.demo
 
 test: install
-	$(PYTHON) -m pytest -n $(WORKERS) --dist loadfile -rx --xfail-tb
+	$(PYTHON) -m pytest -n $(WORKERS) --dist loadfile -rx --xfail-tb -m "not crowd"
+	$(PYTHON) -m pytest -rx --xfail-tb -m crowd
 
 check: install
 	$(VENV)/bin/ruff format --check .
