--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -27,8 +27,8 @@
 from cassiahead_telemetry import exposition
 from cassiahead_telemetry import log_handler
 from cassiahead_telemetry import loop_delay
-from cassiahead_wire import body_buffer
 from cassiahead_wire import clock
+from cassiahead_wire import memory_budget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,7 +109,7 @@
             ),
             exchanger.notify_own_read,
         )
-        budget = body_buffer.replace_process_budget(
+        budget = memory_budget.replace_process_budget(
             caller_limits.max_held_bytes(settings)
         )
         refusals = refusal_log.RefusalLog(gateway_state.metrics.refusals)
--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -23,8 +23,8 @@
 from cassiahead_gateway import server_limits
 from cassiahead_gateway import server_transaction
 from cassiahead_telemetry import events
-from cassiahead_wire import body_buffer
 from cassiahead_wire import clock
+from cassiahead_wire import memory_budget
 from cassiahead_wire import server_stream
 
 if TYPE_CHECKING:
@@ -67,7 +67,9 @@
     _address: str
     handler: http_messages.Handler
     _get_limits: server_limits.LimitsSource = lambda: _DEFAULT_LIMITS
-    budget: body_buffer.BodyBudget = attrs.field(factory=body_buffer.BodyBudget)
+    budget: memory_budget.MemoryBudget = attrs.field(
+        factory=memory_budget.MemoryBudget
+    )
     record_refusal: Callable[[server_limits.Refusal], None] = lambda _refusal: (
         None
     )
--- a/packages/gateway/src/cassiahead_gateway/refusal_log.py
+++ b/packages/gateway/src/cassiahead_gateway/refusal_log.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from cassiahead_gateway import http_server
-    from cassiahead_wire import body_buffer
+    from cassiahead_wire import memory_budget
 
 __all__ = ["RefusalLog", "add_gauges"]
 
@@ -59,7 +59,7 @@
 
 def add_gauges(
     metrics: metrics_lib.Metrics,
-    budget: body_buffer.BodyBudget,
+    budget: memory_budget.MemoryBudget,
     caller_server: http_server.HttpServer,
 ) -> None:
     """Registers the gauges of what is held for callers and targets."""
--- a/packages/gateway/src/cassiahead_gateway/reply_writer.py
+++ b/packages/gateway/src/cassiahead_gateway/reply_writer.py
@@ -8,8 +8,8 @@
 import attrs
 from tornado import httputil
 
-from cassiahead_wire import body_buffer
 from cassiahead_wire import http_connection
+from cassiahead_wire import memory_budget
 from cassiahead_wire import server_stream
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
 
     _connection: http_connection.HttpConnection
     _stream: server_stream.ServerStream
-    _budget: body_buffer.BodyBudget
+    _budget: memory_budget.MemoryBudget
     is_started: bool = False
     _source: object = None
     _held_bytes: int = 0
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -11,9 +11,9 @@
 from cassiahead_gateway import http_messages
 from cassiahead_gateway import reply_writer
 from cassiahead_gateway import server_limits
-from cassiahead_wire import body_buffer
 from cassiahead_wire import clock
 from cassiahead_wire import http_connection
+from cassiahead_wire import memory_budget
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -32,6 +32,9 @@
 # Clients that observe the limits reuse connections that have been idle for up
 # to this fraction of the idle timeout.
 _REUSABLE_IDLE_FRACTION = 0.8
+# Memory of a head while its request is handled, and sent to targets.
+_HEAD_COPY_COUNT = 2
+_FIELD_BYTES = 400
 _LENGTH_PATTERN = re.compile(r"[0-9]+")
 # Lengths with more digits exceed every limit, and could not be converted.
 _MAX_LENGTH_DIGITS = 18
@@ -67,8 +70,7 @@
             stream,
             params,
             limits.max_header_bytes,
-            self._refuse_malformed,
-            self._refuse_head,
+            self,
         )
         self._writer = reply_writer.ReplyWriter(
             self._connection, stream, server.budget
@@ -78,8 +80,8 @@
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
         self._body = bytearray()
-        self._small_bytes = 0
-        self._reserved_bytes = 0
+        self._head_bytes = 0
+        self._held_memory = memory_budget.HeldMemory(server.budget)
         self._received_at = 0.0
         self._task: asyncio.Task[None] | None = None
         self._is_closed = False
@@ -106,7 +108,7 @@
             return await self._connection.read_response(self)
         finally:
             self._writer.release()
-            self._release_body()
+            self._release_request()
 
     def close(self) -> None:
         """Closes the connection."""
@@ -150,6 +152,24 @@
         ):
             self._refuse(Refusal.TOO_SLOW)
 
+    def admit_head(self, byte_count: int, field_count: int) -> bool:
+        """Counts a head, or refuses the request; called before it is parsed.
+
+        Args:
+            byte_count: Size of the head.
+            field_count: Number of its header fields.
+
+        Returns:
+            Whether the head may be parsed.
+        """
+        self._head_bytes = (
+            _HEAD_COPY_COUNT * byte_count + _FIELD_BYTES * field_count
+        )
+        if self._held_memory.try_resize(self._head_bytes):
+            return True
+        self._refuse(Refusal.MEMORY_SHORT)
+        return False
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
@@ -161,8 +181,6 @@
         self._headers = headers
         self._received_at = clock.monotonic()
         self._phase_since = self._server.active_time
-        if self._server.budget.is_exhausted:
-            return self._refuse(Refusal.MEMORY_SHORT)
         if _declared_length(headers) > self._limits.max_body_bytes:
             return self._refuse(Refusal.BODY_TOO_LARGE)
         return None
@@ -178,6 +196,14 @@
         self._body += chunk
         return None
 
+    def refuse_malformed(self) -> None:
+        """Refuses the request; called by the parser."""
+        self._refuse(Refusal.MALFORMED)
+
+    def refuse_head(self) -> None:
+        """Refuses the request; called by the parser."""
+        self._refuse(Refusal.HEAD_TOO_LARGE)
+
     def finish(self) -> None:
         """Handles the complete request; called by tornado."""
         assert self._start_line is not None
@@ -206,7 +232,7 @@
 
     async def _serve(self, request: http_messages.Request) -> None:
         reply = await self._server.handler(request)
-        self._release_body()
+        self._release_request()
         self._phase_since = self._server.active_time
         self._writer.write(reply, request.method, self._server.is_closing)
 
@@ -245,12 +271,6 @@
             self._server.record_refusal(Refusal.REPLY_UNREAD)
             self.close()
 
-    def _refuse_malformed(self) -> None:
-        self._refuse(Refusal.MALFORMED)
-
-    def _refuse_head(self) -> None:
-        self._refuse(Refusal.HEAD_TOO_LARGE)
-
     def _refuse_line(self) -> None:
         self._refuse(
             Refusal.HEAD_TOO_LARGE if self.is_idle else Refusal.MALFORMED
@@ -272,7 +292,7 @@
                 refusal, self._server.echoed_header_lines(self._headers)
             )
         )
-        self._release_body()
+        self._release_request()
         return asyncio.ensure_future(self._stream.wait_refused())
 
     async def _wait_for_memory(self, chunk: bytes) -> None:
@@ -289,25 +309,11 @@
 
     def _try_count(self, body_bytes: int) -> bool:
         """Counts a body up to a size towards the budget, if that allows it."""
-        budget = self._server.budget
-        small_bytes = min(body_bytes, body_buffer.SMALL_BODY_BYTES)
-        added_bytes = small_bytes - self._small_bytes
-        if added_bytes and not budget.try_hold(added_bytes):
-            return False
-        self._small_bytes = small_bytes
-        added_bytes = body_bytes - small_bytes - self._reserved_bytes
-        if added_bytes <= 0:
-            return True
-        if not budget.try_reserve(added_bytes):
-            return False
-        self._reserved_bytes += added_bytes
-        return True
+        return self._held_memory.try_resize(self._head_bytes + body_bytes)
 
-    def _release_body(self) -> None:
+    def _release_request(self) -> None:
         self._body = bytearray()
-        self._server.budget.drop(self._small_bytes)
-        self._server.budget.release(self._reserved_bytes)
-        self._small_bytes = self._reserved_bytes = 0
+        self._held_memory.release()
 
 
 def _declared_length(headers: httputil.HTTPHeaders) -> int:
--- a/packages/gateway/tests/test_server_limits.py
+++ b/packages/gateway/tests/test_server_limits.py
@@ -12,7 +12,7 @@
 
 from cassiahead_gateway import http_server
 from cassiahead_gateway import server_limits
-from cassiahead_wire import body_buffer
+from cassiahead_wire import memory_budget
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -44,7 +44,7 @@
         self.delay_s = 0.0
         self.answer: bytes | None = None
         self.refusals: list[server_limits.Refusal] = []
-        self.budget = body_buffer.BodyBudget()
+        self.budget = memory_budget.MemoryBudget()
         self.http = http_server.HttpServer(
             f"127.0.0.1:{self.port}",
             self._handle,
--- a/packages/wire/src/cassiahead_wire/http_connection.py
+++ b/packages/wire/src/cassiahead_wire/http_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import re
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from tornado import http1connection
 from tornado import httputil
@@ -18,7 +19,12 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-__all__ = ["MAX_DISCARDED_BYTES", "HttpConnection", "ServerHttpConnection"]
+__all__ = [
+    "MAX_DISCARDED_BYTES",
+    "HttpConnection",
+    "RequestReader",
+    "ServerHttpConnection",
+]
 
 # Chunk extensions and trailers of one message together.
 MAX_DISCARDED_BYTES = 8 * 1024
@@ -149,6 +155,24 @@
             await asyncio.sleep(0)
 
 
+class RequestReader(Protocol):
+    """Decides on a request while it is read."""
+
+    def refuse_malformed(self) -> object:
+        """Refuses the request, which is malformed."""
+
+    def refuse_head(self) -> object:
+        """Refuses the request, whose headers exceed the limit."""
+
+    def admit_head(self, byte_count: int, field_count: int) -> bool:
+        """Returns whether a head may be parsed; if not, it has been refused.
+
+        Args:
+            byte_count: Size of the head.
+            field_count: Number of its header fields.
+        """
+
+
 class ServerHttpConnection(HttpConnection):
     """Reads one request; reports a malformed one instead of answering it."""
 
@@ -157,8 +181,7 @@
         stream: iostream.IOStream,
         params: http1connection.HTTP1ConnectionParameters,
         max_header_bytes: int,
-        on_malformed: Callable[[], None],
-        on_head_too_large: Callable[[], None],
+        reader: RequestReader,
     ) -> None:
         """Creates a connection for the next request of a stream.
 
@@ -167,24 +190,24 @@
             params: Parameters of tornado's parser.
             max_header_bytes: Largest size of the headers, without the request
                 line.
-            on_malformed: Called if the request is malformed.
-            on_head_too_large: Called if the headers exceed the limit.
+            reader: Decides on the request.
         """
         super().__init__(stream, False, params)
         self._max_header_bytes = max_header_bytes
-        self._on_malformed = on_malformed
-        self._on_head_too_large = on_head_too_large
+        self._reader = reader
 
     def _parse_headers(self, data: bytes) -> tuple[str, httputil.HTTPHeaders]:
         request_line_bytes = data.lstrip(b"\r\n").find(b"\n") + 1
         if len(data) - request_line_bytes > self._max_header_bytes:
-            self._on_head_too_large()
+            self._reader.refuse_head()
+            raise iostream.StreamClosedError
+        if not self._reader.admit_head(len(data), data.count(b"\n")):
             raise iostream.StreamClosedError
         try:
             start_line, headers = super()._parse_headers(data)
             httputil.parse_request_start_line(start_line)
         except httputil.HTTPInputError as error:
-            self._on_malformed()
+            self._reader.refuse_malformed()
             raise iostream.StreamClosedError from error
         return start_line, headers
 
@@ -197,7 +220,7 @@
         try:
             body = super()._read_body(code, headers, delegate)
         except httputil.HTTPInputError as error:
-            self._on_malformed()
+            self._reader.refuse_malformed()
             raise iostream.StreamClosedError from error
         return None if body is None else self._read_valid_body(body)
 
@@ -205,5 +228,5 @@
         try:
             await body
         except httputil.HTTPInputError as error:
-            self._on_malformed()
+            self._reader.refuse_malformed()
             raise iostream.StreamClosedError from error
--- a/packages/wire/src/cassiahead_wire/server_stream.py
+++ b/packages/wire/src/cassiahead_wire/server_stream.py
@@ -16,7 +16,8 @@
     from collections.abc import Callable
     from types import TracebackType
 
-    from cassiahead_wire import body_buffer
+    from cassiahead_wire import memory_budget
+
 
 __all__ = ["ServerStream"]
 
@@ -42,7 +43,7 @@
     """
 
     def __init__(
-        self, sock: socket.socket, budget: body_buffer.BodyBudget
+        self, sock: socket.socket, budget: memory_budget.MemoryBudget
     ) -> None:
         """Wraps an accepted socket.
 
