--- a/packages/wire/src/cassiahead_wire/connection.py
+++ b/packages/wire/src/cassiahead_wire/connection.py
@@ -31,6 +31,8 @@
     from collections.abc import Callable
     from collections.abc import Mapping
 
+    from cassiahead_wire import memory_budget
+
 __all__ = [
     "Connection",
     "FailureKind",
@@ -57,9 +59,15 @@
         response_count: Number of complete responses received.
     """
 
-    def __init__(self, address: str, stream: streams.Stream) -> None:
+    def __init__(
+        self,
+        address: str,
+        stream: streams.Stream,
+        budget: memory_budget.MemoryBudget | None = None,
+    ) -> None:
         """Wraps a connected stream; callers use ``open`` instead."""
         self._address = address
+        self._budget = budget
         self._stream = stream
         self._response_task: asyncio.Task[bool] | None = None
         self._on_end: Callable[[], None] | None = None
@@ -72,12 +80,19 @@
         stream.set_close_callback(_ignore_close)
 
     @classmethod
-    async def open(cls, address: str, timeout_s: float) -> Connection:
+    async def open(
+        cls,
+        address: str,
+        timeout_s: float,
+        budget: memory_budget.MemoryBudget | None = None,
+    ) -> Connection:
         """Connects to an address.
 
         Args:
             address: ``IP:port`` of the peer.
             timeout_s: Seconds until the connection must be established.
+            budget: Budget that responses count towards; None for that of the
+                process.
 
         Raises:
             TransportError: Of kind ``CONNECT``, if the connect failed or took
@@ -112,7 +127,7 @@
         except asyncio.CancelledError:
             stream.close()
             raise
-        return cls(address, stream)
+        return cls(address, stream, budget)
 
     @property
     def is_usable(self) -> bool:
@@ -219,7 +234,7 @@
         if not self.is_usable:
             raise TransportError(FailureKind.CLOSED, may_have_been_sent=False)
         self._collector = responses.ResponseCollector(
-            self._stream, on_data, max_body_bytes
+            self._stream, on_data, max_body_bytes, self._budget
         )
         http_connection = http_connection_lib.HttpConnection(
             self._stream, True, responses.connection_parameters(max_body_bytes)
--- a/packages/wire/src/cassiahead_wire/responses.py
+++ b/packages/wire/src/cassiahead_wire/responses.py
@@ -15,6 +15,7 @@
 from tornado import iostream
 
 from cassiahead_wire import body_buffer
+from cassiahead_wire import memory_budget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,6 +60,7 @@
         stream: streams.Stream,
         on_data: Callable[[bytes], None] | None = None,
         max_body_bytes: int = body_buffer.MAX_BODY_BYTES,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
         """Creates a collector for the next response on a stream.
 
@@ -67,10 +69,14 @@
             on_data: Called with each piece of the body as it arrives; the body
                 is not kept then.
             max_body_bytes: Largest size of the body.
+            budget: Budget that the body counts towards; None for that of the
+                process.
         """
         self._stream = stream
         self._on_data = on_data
-        self._body = body_buffer.BodyBuffer(max_bytes=max_body_bytes)
+        self._body = body_buffer.BodyBuffer(
+            budget or memory_budget.process_budget(), max_body_bytes
+        )
         self._start_position = stream.consumed_bytes
         self.status = 0
         self.headers = httputil.HTTPHeaders()
