--- a/packages/wire/src/cassiahead_wire/server_stream.py
+++ b/packages/wire/src/cassiahead_wire/server_stream.py
@@ -12,6 +12,8 @@
 
 from tornado import iostream
 
+from cassiahead_wire import streams
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from types import TracebackType
@@ -32,7 +34,7 @@
 _LINGER_S = 1.0
 
 
-class ServerStream(iostream.IOStream):
+class ServerStream(streams.BufferedStream):
     """A stream that counts unread bytes, and can refuse its peer.
 
     Attributes:
@@ -63,11 +65,6 @@
         self._reserved_bytes = 0
         self._refusal_end: asyncio.Future[None] | None = None
 
-    @property
-    def has_unread_bytes(self) -> bool:
-        """Whether the read buffer holds bytes that no read has consumed."""
-        return self._read_buffer_size > 0
-
     @property
     def is_refused(self) -> bool:
         """Whether ``refuse`` was called."""
@@ -151,6 +148,11 @@
         if self._refusal_end is not None and not self._refusal_end.done():
             self._refusal_end.set_result(None)
 
+    def unread(self, data: bytes) -> None:
+        """Puts bytes back that the last read returned, for the next one."""
+        super().unread(data)
+        self._reserve(self._read_buffer_size, is_forced=True)
+
     def set_nodelay(self, value: bool) -> None:
         """Does nothing: TCP_NODELAY was set when the stream was created."""
 
--- a/packages/wire/src/cassiahead_wire/streams.py
+++ b/packages/wire/src/cassiahead_wire/streams.py
@@ -1,4 +1,4 @@
-"""TCP streams of client connections."""
+"""TCP streams of client connections, and what all streams share."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     import socket
 
-__all__ = ["Stream"]
+__all__ = ["BufferedStream", "Stream"]
 
 _READ_CHUNK_BYTES = 64 * 1024
 # A read of a response stops after one chunk more than it needs, so that this
@@ -17,7 +17,25 @@
 _MAX_UNREAD_BYTES = 4 * _READ_CHUNK_BYTES
 
 
-class Stream(iostream.IOStream):
+class BufferedStream(iostream.IOStream):
+    """A stream that takes bytes back that were read ahead."""
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the read buffer holds bytes that no read has consumed."""
+        return self._read_buffer_size > 0
+
+    def unread(self, data: bytes) -> None:
+        """Puts bytes back that the last read returned, for the next one.
+
+        Args:
+            data: The last bytes of what was read.
+        """
+        self._read_buffer[:0] = data
+        self._read_buffer_size += len(data)
+
+
+class Stream(BufferedStream):
     """A stream that counts its bytes and keeps TCP_NODELAY set.
 
     Tornado sets and clears TCP_NODELAY around each message. This stream sets
@@ -37,11 +55,6 @@
         )
         self._received_bytes = 0
 
-    @property
-    def has_unread_bytes(self) -> bool:
-        """Whether the read buffer holds bytes that no read has consumed."""
-        return self._read_buffer_size > 0
-
     @property
     def consumed_bytes(self) -> int:
         """Number of bytes that reads have consumed since the connect."""
