--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -18,6 +18,7 @@
 from tornado import http1connection
 from tornado import iostream
 
+from cassiahead_gateway import evictions
 from cassiahead_gateway import http_messages
 from cassiahead_gateway import listener as listener_lib
 from cassiahead_gateway import server_limits
@@ -45,6 +46,12 @@
 # Time in which the process was suspended does not count towards the timeouts
 # of clients.
 _MAX_SWEEP_INTERVAL_S = 0.5
+# Shortest delay for which a client loses its connection, when connections or
+# memory run out. Clients within the limits send a request at once.
+_MIN_DELAY_FOR_CONNECTIONS_S = 0.25
+_MIN_DELAY_FOR_MEMORY_S = 1.0
+# Connections that hold less are not closed for their memory.
+_MIN_FREED_BYTES = 4 * 1024
 _MAX_REQUEST_LINE_BYTES = 8 * 1024
 # Most refused connections that are kept open at a time to deliver the
 # response; also at most one eighth of the limit on connections.
@@ -84,7 +91,14 @@
         factory=collections.Counter
     )
     _refused_count: int = 0
-    _evictable: list[server_stream.ServerStream] = attrs.field(factory=list)
+    _evictions: evictions.EvictionQueue[
+        server_transaction.ServerTransaction
+    ] = attrs.field(
+        default=attrs.Factory(
+            lambda self: evictions.EvictionQueue(self._transactions.values),
+            takes_self=True,
+        )
+    )
     _params: (
         tuple[
             server_limits.ServerLimits,
@@ -161,7 +175,7 @@
         per_address = limits.max_connections_per_address
         is_refused = bool(per_address) and self._count_by_ip[ip] >= per_address
         if not is_refused and len(self._transactions) >= limits.max_connections:
-            is_refused = not self._evict_idle()
+            is_refused = not self._evict_for_connection()
         if is_refused:
             self.record_refusal(server_limits.Refusal.TOO_MANY_CONNECTIONS)
             max_refused = min(
@@ -249,21 +263,34 @@
             self._params = (limits, params)
         return self._params[1]
 
-    def _evict_idle(self) -> bool:
-        """Closes the connection that has been evictable for longest."""
-        while self._evictable:
-            stream = self._evictable.pop()
-            transaction = self._transactions.get(stream)
-            if (
-                transaction is None
-                or transaction.idle_s(self.active_time) is None
-            ):
-                continue
-            self.record_refusal(server_limits.Refusal.IDLE_EVICTED)
-            transaction.close()
-            self._transactions.pop(stream)
-            return True
-        return False
+    def _evict_for_connection(self) -> bool:
+        """Closes a connection for a new one; returns whether there was one."""
+        transaction = self._evictions.evict(
+            self.active_time - _MIN_DELAY_FOR_CONNECTIONS_S
+        )
+        return transaction is not None
+
+    def free_memory(self) -> bool:
+        """Closes a connection for its memory; returns whether there was one."""
+        transaction = self._evictions.evict(
+            self.active_time - _MIN_DELAY_FOR_MEMORY_S,
+            lambda transaction: transaction.held_bytes > _MIN_FREED_BYTES,
+        )
+        return transaction is not None
+
+    def remove(
+        self,
+        stream: server_stream.ServerStream,
+        refusal: server_limits.Refusal,
+    ) -> None:
+        """Forgets an evicted connection.
+
+        Args:
+            stream: Stream of the connection.
+            refusal: Why it was closed.
+        """
+        self._transactions.pop(stream, None)
+        self.record_refusal(refusal)
 
     def _schedule_sweep(self) -> None:
         self._sweep_timer = asyncio.get_running_loop().call_later(
@@ -275,11 +302,6 @@
         now = clock.monotonic()
         self.active_time += min(now - self._swept_at, _MAX_SWEEP_INTERVAL_S)
         self._swept_at = now
-        idle_s_by_stream: dict[server_stream.ServerStream, float] = {}
-        for stream, transaction in list(self._transactions.items()):
+        for transaction in list(self._transactions.values()):
             transaction.check_timeouts(self.active_time)
-            idle_s = transaction.idle_s(self.active_time)
-            if idle_s is not None:
-                idle_s_by_stream[stream] = idle_s
-        self._evictable = sorted(idle_s_by_stream, key=idle_s_by_stream.get)  # type: ignore[arg-type]
         self._schedule_sweep()
--- a/packages/gateway/src/cassiahead_gateway/server_limits.py
+++ b/packages/gateway/src/cassiahead_gateway/server_limits.py
@@ -76,6 +76,7 @@
         "too many connections are open",
     )
     IDLE_EVICTED = (None, "idle")
+    DELAY_EVICTED = (None, "unfinished request or unread reply")
     REPLY_UNREAD = (None, "unread reply")
 
     @property
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -8,6 +8,7 @@
 
 from tornado import httputil
 
+from cassiahead_gateway import evictions
 from cassiahead_gateway import http_messages
 from cassiahead_gateway import reply_writer
 from cassiahead_gateway import server_limits
@@ -88,6 +89,7 @@
         # Times on the server's active clock.
         self._waiting_since = server.active_time
         self._phase_since: float | None = None
+        self._delaying_since = server.active_time
         self._unsent_bytes = 0
 
     @property
@@ -115,6 +117,47 @@
         self._is_closed = True
         self._connection.close()
 
+    @property
+    def eviction_rank(self) -> evictions.EvictionRank | None:
+        """Place in the order of eviction; None while a request is handled.
+
+        A connection that clients within the limits may still reuse is not
+        evicted either.
+        """
+        stage = evictions.EvictionStage
+        if self._stream.is_refused:
+            return evictions.EvictionRank(stage.REFUSED, self._waiting_since)
+        if self._writer.is_started or (
+            self._start_line is not None and self._task is None
+        ):
+            return evictions.EvictionRank(stage.DELAYING, self._delaying_since)
+        if self._task is not None:
+            return None
+        if self.idle_s(self._server.active_time) is not None:
+            return evictions.EvictionRank(stage.IDLE, self._waiting_since)
+        has_unread_reply = self._stream.unsent_bytes > 0
+        if self._is_first or self._stream.has_unread_bytes or has_unread_reply:
+            return evictions.EvictionRank(stage.DELAYING, self._waiting_since)
+        return None
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of memory that an eviction gives back."""
+        return self._held_memory.byte_count + self._stream.held_bytes
+
+    def evict(self) -> None:
+        """Closes the connection, and gives its memory back."""
+        refusal = (
+            Refusal.IDLE_EVICTED
+            if self.idle_s(self._server.active_time) is not None
+            else Refusal.DELAY_EVICTED
+        )
+        self._server.remove(self._stream, refusal)
+        self.close()
+        self._stream.close()
+        self._release_request()
+        self._writer.release()
+
     def idle_s(self, now: float) -> float | None:
         """Returns for how long the connection may have been evictable.
 
@@ -180,7 +223,7 @@
         self._start_line = start_line
         self._headers = headers
         self._received_at = clock.monotonic()
-        self._phase_since = self._server.active_time
+        self._phase_since = self._delaying_since = self._server.active_time
         if _declared_length(headers) > self._limits.max_body_bytes:
             return self._refuse(Refusal.BODY_TOO_LARGE)
         return None
@@ -233,7 +276,7 @@
     async def _serve(self, request: http_messages.Request) -> None:
         reply = await self._server.handler(request)
         self._release_request()
-        self._phase_since = self._server.active_time
+        self._phase_since = self._delaying_since = self._server.active_time
         self._writer.write(reply, request.method, self._server.is_closing)
 
     def _has_passed(self, now: float, timeout_s: float) -> bool:
--- a/packages/wire/src/cassiahead_wire/server_stream.py
+++ b/packages/wire/src/cassiahead_wire/server_stream.py
@@ -84,6 +84,11 @@
             return len(self._write_buffer)
         return int(struct.unpack("i", buffer)[0]) + len(self._write_buffer)
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes in the buffers of this process."""
+        return self._read_buffer_size + len(self._write_buffer)
+
     def refuse(self, response: bytes) -> None:
         """Sends a last response, and closes soon after; reads never end.
 
