--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -50,6 +50,8 @@
 # memory run out. Clients within the limits send a request at once.
 _MIN_DELAY_FOR_CONNECTIONS_S = 0.25
 _MIN_DELAY_FOR_MEMORY_S = 1.0
+# Time for which no connection is looked for again after none was found.
+_FREEING_INTERVAL_S = 0.05
 # Connections that hold less are not closed for their memory.
 _MIN_FREED_BYTES = 4 * 1024
 _MAX_REQUEST_LINE_BYTES = 8 * 1024
@@ -112,6 +114,7 @@
             takes_self=True,
         )
     )
+    _next_freeing_at: float = 0.0
     _swept_at: float = 0.0
     _sweep_timer: asyncio.TimerHandle | None = None
 
@@ -132,6 +135,7 @@
 
     def listen(self) -> None:
         """Starts listening on the address."""
+        self.budget.free_memory = self._free_memory
         self._listener.start()
         self._swept_at = clock.monotonic()
         self._schedule_sweep()
@@ -270,12 +274,17 @@
         )
         return transaction is not None
 
-    def free_memory(self) -> bool:
+    def _free_memory(self) -> bool:
         """Closes a connection for its memory; returns whether there was one."""
+        now = clock.monotonic()
+        if now < self._next_freeing_at:
+            return False
         transaction = self._evictions.evict(
             self.active_time - _MIN_DELAY_FOR_MEMORY_S,
             lambda transaction: transaction.held_bytes > _MIN_FREED_BYTES,
         )
+        if transaction is None:
+            self._next_freeing_at = now + _FREEING_INTERVAL_S
         return transaction is not None
 
     def remove(
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -124,6 +124,8 @@
         A connection that clients within the limits may still reuse is not
         evicted either.
         """
+        if self._stream.closed():
+            return None
         stage = evictions.EvictionStage
         if self._stream.is_refused:
             return evictions.EvictionRank(stage.REFUSED, self._waiting_since)
--- a/packages/gateway/tests/test_server_limits.py
+++ b/packages/gateway/tests/test_server_limits.py
@@ -137,6 +137,23 @@
     _run(test)
 
 
+def test_paused_body_gives_its_memory_to_others() -> None:
+    async def test(server: _Server) -> None:
+        server.budget.set_max_held_bytes(60_000)
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n"
+        async with server.connection() as (paused_reader, paused_writer):
+            paused_writer.write(head + bytes(39_999))
+            await asyncio.sleep(2)
+            async with server.connection() as (reader, writer):
+                writer.write(head + bytes(40_000))
+                answer = await reader.readuntil(b"\r\n\r\n")
+                assert answer.startswith(b"HTTP/1.1 200 ")
+            assert not await paused_reader.read()
+        assert server.refusals == [server_limits.Refusal.DELAY_EVICTED]
+
+    _run(test, attrs.evolve(_LIMITS, max_body_bytes=50_000, body_timeout_s=30))
+
+
 def test_request_being_handled_is_answered_although_memory_runs_short() -> None:
     # The bytes of a pipelined request must not refuse the one before it.
     async def test(server: _Server) -> None:
--- a/packages/wire/src/cassiahead_wire/memory_budget.py
+++ b/packages/wire/src/cassiahead_wire/memory_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 __all__ = [
@@ -28,11 +30,14 @@
     Attributes:
         reserved_bytes: Number of bytes that are reserved for large messages.
         small_bytes: Number of all other bytes that are held.
+        free_memory: Called when bytes exceed the limit; returns whether it has
+            made an owner give some back, so that it is worth trying again.
     """
 
     _max_bytes: int = _DEFAULT_MAX_LARGE_BYTES
     reserved_bytes: int = 0
     small_bytes: int = 0
+    free_memory: Callable[[], bool] = lambda: False
 
     @property
     def held_bytes(self) -> int:
@@ -125,11 +130,14 @@
             Whether it does; if not, fewer bytes are held.
         """
         small_bytes = min(byte_count, SMALL_MESSAGE_BYTES)
-        added_bytes = small_bytes - self._small_bytes
-        if added_bytes > 0 and not self._budget.try_hold(added_bytes):
-            return False
-        if added_bytes < 0:
-            self._budget.drop(-added_bytes)
+        # The owner may have to give back what it holds itself.
+        while small_bytes > self._small_bytes and not self._budget.try_hold(
+            small_bytes - self._small_bytes
+        ):
+            if not self._budget.free_memory():
+                return False
+        if small_bytes < self._small_bytes:
+            self._budget.drop(self._small_bytes - small_bytes)
         self._small_bytes = small_bytes
         return self._try_resize_large(byte_count - small_bytes)
 
@@ -147,10 +155,12 @@
         self._small_bytes = self._large_bytes = 0
 
     def _try_resize_large(self, byte_count: int) -> bool:
-        added_bytes = byte_count - self._large_bytes
-        if added_bytes > 0 and not self._budget.try_reserve(added_bytes):
-            return False
-        if added_bytes < 0:
-            self._budget.release(-added_bytes)
+        while byte_count > self._large_bytes and not self._budget.try_reserve(
+            byte_count - self._large_bytes
+        ):
+            if not self._budget.free_memory():
+                return False
+        if byte_count < self._large_bytes:
+            self._budget.release(self._large_bytes - byte_count)
         self._large_bytes = byte_count
         return True
--- a/packages/wire/src/cassiahead_wire/server_stream.py
+++ b/packages/wire/src/cassiahead_wire/server_stream.py
@@ -169,16 +169,19 @@
 
     def _reserve(self, unread_bytes: int, *, is_forced: bool = False) -> bool:
         """Sets how many unread bytes count; returns whether that is allowed."""
-        added_bytes = (
-            max(0, unread_bytes - _UNBUDGETED_BYTES) - self._reserved_bytes
-        )
-        if added_bytes <= 0:
+        counted_bytes = max(0, unread_bytes - _UNBUDGETED_BYTES)
+        # This stream may be closed to free memory, and give its own bytes back.
+        while (added_bytes := counted_bytes - self._reserved_bytes) > 0:
+            if is_forced:
+                self._budget.hold(added_bytes)
+                break
+            if self._budget.try_hold(added_bytes):
+                break
+            if not self._budget.free_memory():
+                return False
+        if added_bytes < 0:
             self._budget.drop(-added_bytes)
-        elif is_forced:
-            self._budget.hold(added_bytes)
-        elif not self._budget.try_hold(added_bytes):
-            return False
-        self._reserved_bytes += added_bytes
+        self._reserved_bytes = counted_bytes
         return True
 
     def _shut_down(self, _future: asyncio.Future[None]) -> None:
