--- a/packages/gateway/src/cassiahead_gateway/headers.py
+++ b/packages/gateway/src/cassiahead_gateway/headers.py
@@ -88,9 +88,10 @@
         headers: Headers of the message received.
         excluded_names: Names, in lower case, of further headers to leave out.
     """
-    dropped_names = _NEVER_FORWARDED_NAMES | excluded_names
-    for name in headers.get("Connection", "").split(","):
-        dropped_names = dropped_names | {name.strip().lower()}
+    hop_names = headers.get("Connection", "").lower().split(",")
+    dropped_names = _NEVER_FORWARDED_NAMES.union(
+        excluded_names, (name.strip() for name in hop_names)
+    )
     kept_headers = httputil.HTTPHeaders()
     for name, value in headers.get_all():
         if name.lower() not in dropped_names:
