--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -148,12 +148,14 @@
         """Closes the connections on which no request is being served.
 
         A request that arrives while its connection is being closed is not
-        served, so its sender may safely repeat it elsewhere.
+        served, so its sender may safely repeat it elsewhere. A request whose
+        body has not arrived is refused.
         """
-        for transaction in [
-            t for t in self._transactions.values() if t.is_idle
-        ]:
-            transaction.close()
+        for transaction in list(self._transactions.values()):
+            if transaction.is_idle:
+                transaction.close()
+            elif transaction.is_receiving_body:
+                transaction.refuse_as_late()
 
     async def close(self) -> None:
         """Stops listening and closes all connections."""
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -97,6 +97,16 @@
         """Whether no request headers have been read yet."""
         return self._start_line is None
 
+    @property
+    def is_receiving_body(self) -> bool:
+        """Whether the head of a request has been read, but not all of it."""
+        return (
+            self._start_line is not None
+            and self._task is None
+            and not self._stream.closed()
+            and not self._stream.is_refused
+        )
+
     async def run(self) -> bool:
         """Reads the request, and waits until its reply is sent.
 
@@ -192,10 +202,10 @@
             self._check_reply(now)
         elif self._start_line is None:
             self._check_head(now)
-        elif self._task is None and self._has_passed(
+        elif self.is_receiving_body and self._has_passed(
             now, self._limits.body_timeout_s
         ):
-            self._refuse(Refusal.TOO_SLOW)
+            self.refuse_as_late()
 
     def admit_head(self, byte_count: int, field_count: int) -> bool:
         """Counts a head, or refuses the request; called before it is parsed.
@@ -241,6 +251,10 @@
         self._body += chunk
         return None
 
+    def refuse_as_late(self) -> None:
+        """Refuses a request that has not arrived in time."""
+        self._refuse(Refusal.TOO_SLOW)
+
     def refuse_malformed(self) -> None:
         """Refuses the request; called by the parser."""
         self._refuse(Refusal.MALFORMED)
--- a/packages/gateway/tests/test_server_limits.py
+++ b/packages/gateway/tests/test_server_limits.py
@@ -137,6 +137,18 @@
     _run(test)
 
 
+def test_paused_body_is_refused_when_idle_connections_are_closed() -> None:
+    # It kept a process that was told to stop until the end of its grace period.
+    async def test(server: _Server) -> None:
+        async with server.connection() as (reader, writer):
+            writer.write(b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nx")
+            await asyncio.sleep(0.2)
+            server.http.close_idle()
+            assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
+
+    _run(test, attrs.evolve(_LIMITS, body_timeout_s=30.0))
+
+
 def test_paused_body_gives_its_memory_to_others() -> None:
     async def test(server: _Server) -> None:
         server.budget.set_max_held_bytes(60_000)
