--- a/packages/gateway/src/cassiahead_gateway/attempt_outcomes.py
+++ b/packages/gateway/src/cassiahead_gateway/attempt_outcomes.py
@@ -15,10 +15,10 @@
 
 @attrs.frozen(eq=False)
 class Answered:
-    """The target sent a complete response, of any status.
+    """The target sent a response, of any status.
 
     Attributes:
-        response: The target's response.
+        response: The target's response, which is complete or has a stream.
         signature: The target's signature on the response; empty if the
             response has none.
     """
@@ -31,6 +31,11 @@
         """Whether the response is signed and has a 2xx status."""
         return 200 <= self.response.status < 300 and bool(self.signature)
 
+    def discard(self) -> None:
+        """Gives up a response that is not used."""
+        if self.response.stream is not None:
+            self.response.stream.release()
+
 
 @attrs.frozen
 class NotRun:
--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -15,6 +15,7 @@
 from cassiahead_gateway import crash_detector
 from cassiahead_gateway import headers as headers_lib
 from cassiahead_gateway import outgoing_request
+from cassiahead_gateway import passed_on_body
 from cassiahead_gateway import target_observer
 from cassiahead_gateway import target_pacer
 from cassiahead_gateway import target_signal_reader
@@ -52,6 +53,7 @@
     _connect_task: asyncio.Task[None] | None = None
     _is_ended: bool = False
     _is_overdue: bool = False
+    _passed_on: passed_on_body.PassedOnBody | None = None
 
     @property
     def is_answer_arriving(self) -> bool:
@@ -112,15 +114,49 @@
                 self._request.body,
                 self._sender.attempt_headers(self.target, self._request),
                 self._on_response_end,
+                on_long_body=self._on_long_body,
             )
         except connection_lib.TransportError as error:
             # The starter of the attempt doesn't expect the outcome yet.
             loop = asyncio.get_running_loop()
             loop.call_soon(self._handle_error, error)
 
+    def _on_long_body(self, response: connection_lib.Response) -> bool:
+        """Ends the attempt with a response whose body has not arrived yet.
+
+        Returns:
+            Whether the response is passed on.
+        """
+        if (
+            self._is_ended
+            or response.stream is None
+            or not self._sender.can_pass_on(self._request, response)
+        ):
+            return False
+        self._passed_on = passed_on_body.PassedOnBody.start(
+            response.stream, self._checkout, self._request.deadline
+        )
+        # The connection is still reading.
+        asyncio.get_running_loop().call_soon(self._end_early, response)
+        return True
+
+    def _end_early(self, response: connection_lib.Response) -> None:
+        assert response.stream is not None
+        if self._is_ended:
+            response.stream.release()
+            return
+        self._end(
+            self._sender.handle_passed_on_response(
+                self.target, self._request, response, self.started_at
+            )
+        )
+
     def _on_response_end(self) -> None:
         connection = self._checkout.connection
         assert connection is not None
+        if self._passed_on is not None:
+            self._passed_on.handle_end()
+            return
         if self._is_ended:
             return
         try:
@@ -358,6 +394,58 @@
             return attempt_outcomes.NotRun(
                 "the address is another target's", was_received=True
             )
+        return self._record_answer(target, request, response, started_at)
+
+    def handle_passed_on_response(
+        self,
+        target: api.Target,
+        request: outgoing_request.OutgoingRequest,
+        response: connection_lib.Response,
+        started_at: float,
+    ) -> attempt_outcomes.AttemptOutcome:
+        """Records a response whose body is passed on as it arrives.
+
+        Returns:
+            The outcome of the attempt.
+        """
+        self._signal_reader.read(target, request, response, clock.monotonic())
+        self._pacer.pace.record_ended(target.id)
+        return self._record_answer(target, request, response, started_at)
+
+    def can_pass_on(
+        self,
+        request: outgoing_request.OutgoingRequest,
+        response: connection_lib.Response,
+    ) -> bool:
+        """Returns whether the body of a response may be passed on early.
+
+        Only the body of a success is, whose length is announced: any other
+        outcome may lead to another attempt, a body without a length may be
+        endless, and the response of a search is merged with others.
+
+        Args:
+            request: Request that was sent.
+            response: The response without its body.
+        """
+        header_names = self._header_names
+        return (
+            request.passes_long_bodies_on
+            and 200 <= response.status < 300
+            and "Content-Length" in response.headers
+            and bool(response.headers.get(header_names.stamp))
+            and header_names.not_run not in response.headers
+            and self._invalid_response_reason(request, response) is None
+        )
+
+    def _record_answer(
+        self,
+        target: api.Target,
+        request: outgoing_request.OutgoingRequest,
+        response: connection_lib.Response,
+        started_at: float,
+    ) -> attempt_outcomes.AttemptOutcome:
+        """Records a response of a target that has run the request."""
+        now = clock.monotonic()
         if response.status >= _MIN_SERVER_ERROR_STATUS:
             self._record_bad_answer(target, request, now)
             self._observer.observe_failure(target.id, now)
@@ -375,7 +463,7 @@
                 request.fingerprint
             )
         return attempt_outcomes.Answered(
-            response, response.headers.get(header_names.stamp, "")
+            response, response.headers.get(self._header_names.stamp, "")
         )
 
     def _record_bad_answer(
--- a/packages/gateway/src/cassiahead_gateway/forwarding.py
+++ b/packages/gateway/src/cassiahead_gateway/forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 
 from cassiahead_gateway import api
@@ -91,6 +93,10 @@
             if targets_to_start is not None:
                 self._start_call(targets_to_start)
             await self._completion.future
+        except asyncio.CancelledError:
+            if call.answer is not None:
+                call.answer.discard()
+            raise
         finally:
             capacity_queue.cancel(ticket)
             capacity_queue.remove_pending(self._service, call)
@@ -264,13 +270,20 @@
             response.status,
             headers,
             response.body,
-            self._omitted_length(response),
+            self._announced_length(response),
             response,
+            response.stream,
         )
 
-    def _omitted_length(self, response: connection_lib.Response) -> int | None:
-        """Returns the length of the body that a response to HEAD omits."""
+    def _announced_length(
+        self, response: connection_lib.Response
+    ) -> int | None:
+        """Returns the length of a body that isn't here; None if unknown.
+
+        A response to HEAD omits the body, and a long one follows later.
+        """
         text = response.headers.get("Content-Length", "")
-        if self._request.method != "HEAD" or not text.isascii():
+        is_here = self._request.method != "HEAD" and response.stream is None
+        if is_here or not text.isascii():
             return None
         return int(text) if text.isdecimal() and len(text) < 16 else None
--- a/packages/gateway/src/cassiahead_gateway/http_messages.py
+++ b/packages/gateway/src/cassiahead_gateway/http_messages.py
@@ -8,6 +8,8 @@
 import attrs
 from tornado import httputil
 
+from cassiahead_wire import body_stream
+
 __all__ = ["Handler", "Reply", "Request", "plain_reply"]
 
 
@@ -40,11 +42,14 @@
         headers: Headers; the server adds ``Content-Length`` and, while closing,
             ``Connection``.
         body: Response body.
-        content_length: Length of the body that a response to HEAD omits, in
-            bytes. None for the length of ``body``; in a response to HEAD that
-            has a source, for an unknown length.
+        content_length: Length in bytes of the body that a response to HEAD
+            omits, or of ``stream``. None for the length of ``body``; in a
+            response to HEAD that has a source, or with a stream, for an unknown
+            length.
         source: Response that the body is counted for until it is freed; the
             server keeps it until the body has been sent. None if there is none.
+        stream: Body that arrives while it is sent, in place of ``body``; the
+            server releases it.
     """
 
     status: int
@@ -52,6 +57,7 @@
     body: bytes
     content_length: int | None = None
     source: object = None
+    stream: body_stream.BodyStream | None = None
 
 
 Handler = Callable[[Request], Awaitable[Reply]]
--- a/packages/gateway/src/cassiahead_gateway/outgoing_request.py
+++ b/packages/gateway/src/cassiahead_gateway/outgoing_request.py
@@ -32,6 +32,8 @@
         latencies: Recent latencies of attempts on the same route.
         priority: Rank of the request in an overload; 0 is the highest.
         account_name: Name of the client account; empty if it has none.
+        passes_long_bodies_on: Whether the caller gets the body of a long
+            response while it arrives.
     """
 
     request_id: str
@@ -44,3 +46,4 @@
     latencies: hedging.LatencyWindow
     priority: int = 0
     account_name: str = ""
+    passes_long_bodies_on: bool = False
--- a/packages/gateway/src/cassiahead_gateway/reply_writer.py
+++ b/packages/gateway/src/cassiahead_gateway/reply_writer.py
@@ -7,7 +7,9 @@
 
 import attrs
 from tornado import httputil
+from tornado import iostream
 
+from cassiahead_wire import connection
 from cassiahead_wire import http_connection
 from cassiahead_wire import memory_budget
 from cassiahead_wire import server_stream
@@ -16,6 +18,7 @@
     import asyncio
 
     from cassiahead_gateway import http_messages
+    from cassiahead_wire import body_stream
 
 __all__ = ["ReplyWriter"]
 
@@ -52,7 +55,9 @@
         headers, body = reply.headers, reply.body
         if reply.content_length is not None:
             headers["Content-Length"] = str(reply.content_length)
-        elif method != "HEAD" or reply.source is None:
+        elif reply.stream is None and (
+            method != "HEAD" or reply.source is None
+        ):
             headers["Content-Length"] = str(len(body))
         if is_closing:
             headers["Connection"] = "close"
@@ -70,7 +75,23 @@
             self._write_part(start_line, headers, body)
         if self._stream.writing():
             self._count(reply)
-        self._connection.finish()
+        if reply.stream is None:
+            self._connection.finish()
+
+    async def pass_on(self, body: body_stream.BodyStream) -> None:
+        """Writes the body of a reply while it arrives, after ``write``.
+
+        If the body is cut off, the connection is closed, so that the client
+        does not take the reply for a complete one.
+        """
+        try:
+            while piece := await body.read():
+                await self._connection.write(piece)
+            self._connection.finish()
+        except (connection.TransportError, iostream.StreamClosedError):
+            self._stream.close()
+        finally:
+            body.release()
 
     def release(self) -> None:
         """Ends the count; called once the reply is sent or can't be."""
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -294,6 +294,8 @@
         self._release_request()
         self._phase_since = self._delaying_since = self._server.active_time
         self._writer.write(reply, request.method, self._server.is_closing)
+        if reply.stream is not None:
+            await self._writer.pass_on(reply.stream)
 
     def _has_passed(self, now: float, timeout_s: float) -> bool:
         """Returns whether the phase has certainly lasted longer than a time."""
--- a/packages/gateway/src/cassiahead_gateway/service_call.py
+++ b/packages/gateway/src/cassiahead_gateway/service_call.py
@@ -282,6 +282,8 @@
         self, outcome: attempt_outcomes.AttemptOutcome, target_id: str
     ) -> None:
         if self.is_settled:
+            if isinstance(outcome, attempt_outcomes.Answered):
+                outcome.discard()
             return
         is_retriable = False
         self.lacked_capacity = False
--- a/packages/wire/src/cassiahead_wire/body_buffer.py
+++ b/packages/wire/src/cassiahead_wire/body_buffer.py
@@ -7,6 +7,7 @@
 import attrs
 from tornado import httputil
 
+from cassiahead_wire import body_stream
 from cassiahead_wire import memory_budget
 
 __all__ = ["MAX_BODY_BYTES", "BodyBuffer", "Response"]
@@ -23,17 +24,20 @@
 
 @attrs.frozen
 class Response:
-    """A complete HTTP response.
+    """An HTTP response.
 
     Attributes:
         status: HTTP status code.
         headers: Response headers.
-        body: Response body; empty if the body was passed to ``on_data``.
+        body: Response body; empty if the body was passed to ``on_data`` or is
+            passed on by ``stream``.
+        stream: The body of a long response, which has not arrived yet.
     """
 
     status: int
     headers: httputil.HTTPHeaders
     body: bytes
+    stream: body_stream.BodyStream | None = None
 
 
 @attrs.define(eq=False)
@@ -79,6 +83,18 @@
         """
         return consumed_bytes > 2 * self.size + _MAX_OVERHEAD_BYTES
 
+    def take_stream(self) -> body_stream.BodyStream:
+        """Returns a stream with the body so far, and leaves the buffer empty.
+
+        The last piece, which could not be kept, must be put into the stream.
+        """
+        stream = body_stream.BodyStream.from_content(
+            self._held, bytes(self._content)
+        )
+        self._held = memory_budget.HeldMemory(self._budget)
+        self._content = bytearray()
+        return stream
+
     def discard(self) -> None:
         """Frees what is kept."""
         self._content = bytearray()
--- a/packages/wire/src/cassiahead_wire/connection.py
+++ b/packages/wire/src/cassiahead_wire/connection.py
@@ -12,6 +12,7 @@
 import contextlib
 import math
 import socket
+import sys
 from typing import TYPE_CHECKING
 
 from tornado import httputil
@@ -215,6 +216,7 @@
         on_end: Callable[[], None] | None,
         on_data: Callable[[bytes], None] | None = None,
         max_body_bytes: int = body_buffer.MAX_BODY_BYTES,
+        on_long_body: Callable[[Response], bool] | None = None,
     ) -> None:
         """Sends a request without waiting for the response; see ``request``.
 
@@ -227,6 +229,10 @@
                 called. ``wait_response`` replaces the callback.
             on_data: Called with each piece of the response body.
             max_body_bytes: Largest body of the response.
+            on_long_body: Called with the response when its body exceeds
+                ``max_body_bytes`` or the memory budget; returns whether the
+                stream of the response is going to be read. None to treat such
+                a response as malformed.
 
         Raises:
             TransportError: If the connection is not usable.
@@ -234,10 +240,14 @@
         if not self.is_usable:
             raise TransportError(FailureKind.CLOSED, may_have_been_sent=False)
         self._collector = responses.ResponseCollector(
-            self._stream, on_data, max_body_bytes, self._budget
+            self._stream, on_data, max_body_bytes, self._budget, on_long_body
         )
         http_connection = http_connection_lib.HttpConnection(
-            self._stream, True, responses.connection_parameters(max_body_bytes)
+            self._stream,
+            True,
+            responses.connection_parameters(
+                max_body_bytes if on_long_body is None else sys.maxsize
+            ),
         )
         all_headers = _to_http_headers(headers)
         if "Host" not in all_headers:
@@ -383,7 +393,12 @@
         """Closes the connection and abandons a request in flight."""
         self._stream.close()
         self._collector.discard()
-        if self._response_task is not None:
+        # A task that passes a body on ends by itself: tornado would log its
+        # cancellation.
+        if (
+            self._response_task is not None
+            and not self._collector.is_passing_on
+        ):
             self._response_task.cancel()
 
 
--- a/packages/wire/src/cassiahead_wire/responses.py
+++ b/packages/wire/src/cassiahead_wire/responses.py
@@ -18,8 +18,10 @@
 from cassiahead_wire import memory_budget
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from cassiahead_wire import body_stream
     from cassiahead_wire import streams
 
 __all__ = ["ResponseCollector", "connection_parameters", "read_response"]
@@ -61,6 +63,7 @@
         on_data: Callable[[bytes], None] | None = None,
         max_body_bytes: int = body_buffer.MAX_BODY_BYTES,
         budget: memory_budget.MemoryBudget | None = None,
+        on_long_body: Callable[[body_buffer.Response], bool] | None = None,
     ) -> None:
         """Creates a collector for the next response on a stream.
 
@@ -71,18 +74,28 @@
             max_body_bytes: Largest size of the body.
             budget: Budget that the body counts towards; None for that of the
                 process.
+            on_long_body: Called with the response when its body exceeds its
+                limit or the budget; returns whether the body is passed on while
+                it arrives. None to reject such a response.
         """
         self._stream = stream
         self._on_data = on_data
         self._body = body_buffer.BodyBuffer(
             budget or memory_budget.process_budget(), max_body_bytes
         )
+        self._on_long_body = on_long_body
+        self._body_stream: body_stream.BodyStream | None = None
         self._start_position = stream.consumed_bytes
         self.status = 0
         self.headers = httputil.HTTPHeaders()
         self.is_finished = False
         self.is_malformed = False
 
+    @property
+    def is_passing_on(self) -> bool:
+        """Whether the body is passed on while it arrives."""
+        return self._body_stream is not None
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
@@ -98,19 +111,28 @@
         self.status = start_line.code
         self.headers = headers
 
-    def data_received(self, chunk: bytes) -> None:
-        """Records a piece of the body; called by tornado."""
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Records a piece of the body; called by tornado.
+
+        Returns:
+            Ends when more may be read; None for at once.
+        """
         if self.is_malformed:
-            return
-        if self._on_data is not None:
+            return None
+        waiting: Awaitable[None] | None = None
+        if self._body_stream is not None:
+            self._body.size += len(chunk)
+            waiting = self._body_stream.put(chunk)
+        elif self._on_data is not None:
             self._body.size += len(chunk)
             self._on_data(chunk)
         elif not self._body.try_append(chunk):
-            self.reject()
+            waiting = self._pass_on(chunk)
         if self._body.has_excessive_overhead(
             self._stream.consumed_bytes - self._start_position
         ):
             self.reject()
+        return waiting
 
     def finish(self) -> None:
         """Records the end of the response; called by tornado.
@@ -129,6 +151,22 @@
     def discard(self) -> None:
         """Frees what has been collected."""
         self._body.discard()
+        if self._body_stream is not None:
+            self._body_stream.cut_off()
+
+    def _pass_on(self, chunk: bytes) -> Awaitable[None] | None:
+        """Begins to pass the body on, or rejects the response."""
+        if self._on_long_body is None:
+            self.reject()
+            return None
+        stream = self._body.take_stream()
+        response = body_buffer.Response(self.status, self.headers, b"", stream)
+        if not self._on_long_body(response):
+            stream.release()
+            self.reject()
+            return None
+        self._body_stream = stream
+        return stream.put(chunk)
 
     def response(self) -> body_buffer.Response:
         """Returns the response; called once, when it has finished."""
