--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -134,12 +134,19 @@
         ):
             return False
         self._passed_on = passed_on_body.PassedOnBody.start(
-            response.stream, self._checkout, self._request.deadline
+            response.stream,
+            self._checkout,
+            self._request.deadline,
+            self._on_passed_on_error,
         )
         # The connection is still reading.
         asyncio.get_running_loop().call_soon(self._end_early, response)
         return True
 
+    def _on_passed_on_error(self, error: connection_lib.TransportError) -> None:
+        if error.has_peer_closed:
+            self._sender.check_for_crash(self.target, self._request)
+
     def _end_early(self, response: connection_lib.Response) -> None:
         assert response.stream is not None
         if self._is_ended:
@@ -284,10 +291,8 @@
                 target.id, started_at, ended_at
             )
             self._pacer.observe_silence(target, started_at, ended_at)
-            if result.kind is connection_lib.FailureKind.CLOSED:
-                self._crash_detector.check_for_crash(
-                    target, request.fingerprint, request.request_id
-                )
+            if result.has_peer_closed:
+                self.check_for_crash(target, request)
 
         self._connections.abandon(checkout, on_end)
 
@@ -352,12 +357,18 @@
             return attempt_outcomes.NotRun(
                 f"no connection: {error.kind}", was_received=False
             )
-        if error.kind is connection_lib.FailureKind.CLOSED:
-            self._crash_detector.check_for_crash(
-                target, request.fingerprint, request.request_id
-            )
+        if error.has_peer_closed:
+            self.check_for_crash(target, request)
         return attempt_outcomes.OutcomeUnknown(error.kind.value)
 
+    def check_for_crash(
+        self, target: api.Target, request: outgoing_request.OutgoingRequest
+    ) -> None:
+        """Checks a target that closed the connection of a request."""
+        self._crash_detector.check_for_crash(
+            target, request.fingerprint, request.request_id
+        )
+
     def handle_response(
         self,
         target: api.Target,
--- a/packages/gateway/src/cassiahead_gateway/connection_table.py
+++ b/packages/gateway/src/cassiahead_gateway/connection_table.py
@@ -312,8 +312,7 @@
             checkout: Open connection on which the request was sent.
             on_end: Called with the answer if it arrived in time, otherwise
                 with the error after the connection has been closed. The error
-                is of kind ``CLOSED`` only if the target closed the connection
-                first.
+                tells whether the target closed the connection first.
         """
         task = asyncio.ensure_future(_await_late_answer(checkout, on_end))
         self._late_answer_tasks.add(task)
--- a/packages/gateway/src/cassiahead_gateway/passed_on_body.py
+++ b/packages/gateway/src/cassiahead_gateway/passed_on_body.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -24,6 +25,7 @@
 
     _stream: body_stream.BodyStream
     _checkout: connection_table.Checkout
+    _on_error: Callable[[connection_lib.TransportError], None]
     _timer: asyncio.TimerHandle | None = None
     _has_ended: bool = False
 
@@ -33,6 +35,7 @@
         stream: body_stream.BodyStream,
         checkout: connection_table.Checkout,
         deadline: float,
+        on_error: Callable[[connection_lib.TransportError], None],
     ) -> PassedOnBody:
         """Takes over a connection on which a body is arriving.
 
@@ -41,8 +44,9 @@
             checkout: The connection.
             deadline: When the body must be complete, in seconds on this
                 process's monotonic clock.
+            on_error: Called if the target doesn't send the whole body.
         """
-        body = cls(stream, checkout)
+        body = cls(stream, checkout, on_error)
         stream.on_release = body._close
         body._timer = asyncio.get_running_loop().call_later(
             max(0.0, deadline - clock.monotonic()), body._cut_off
@@ -60,6 +64,7 @@
         except connection_lib.TransportError as error:
             self._stream.cut_off()
             self._checkout.drop(error.kind)
+            self._on_error(error)
         else:
             self._stream.finish()
             self._checkout.put_back()
--- a/packages/wire/src/cassiahead_wire/connection.py
+++ b/packages/wire/src/cassiahead_wire/connection.py
@@ -308,7 +308,10 @@
                 else FailureKind.CLOSED
             )
             raise TransportError(
-                kind, may_have_been_sent=True, has_response_started=has_started
+                kind,
+                may_have_been_sent=True,
+                has_response_started=has_started,
+                has_peer_closed=not collector.is_malformed,
             )
         self.last_used_at = clock.monotonic()
         self.response_count += 1
--- a/packages/wire/src/cassiahead_wire/transport_errors.py
+++ b/packages/wire/src/cassiahead_wire/transport_errors.py
@@ -36,8 +36,11 @@
         may_have_been_sent: Whether a byte of the request may have reached the
             peer.
         has_response_started: Whether the response headers arrived.
+        has_peer_closed: Whether the peer closed or reset the connection while a
+            response was due.
     """
 
     kind: FailureKind
     may_have_been_sent: bool
     has_response_started: bool = False
+    has_peer_closed: bool = False
