--- a/packages/gateway/src/cassiahead_gateway/attempts.py
+++ b/packages/gateway/src/cassiahead_gateway/attempts.py
@@ -440,7 +440,7 @@
         """
         header_names = self._header_names
         return (
-            request.passes_long_bodies_on
+            not request.is_part
             and 200 <= response.status < 300
             and "Content-Length" in response.headers
             and bool(response.headers.get(header_names.stamp))
@@ -501,6 +501,14 @@
             response.headers, request.request_id
         ):
             return "answer to another request"
+        header_names = self._header_names
+        if (
+            not request.is_part
+            and header_names.stamp in response.headers
+            and header_names.request_id not in response.headers
+        ):
+            # It may be late, and belong to the request before.
+            return "signed answer that names no request"
         if "Content-Encoding" in response.headers:
             return "answer with an encoding that was not asked for"
         return None
--- a/packages/gateway/src/cassiahead_gateway/outgoing_request.py
+++ b/packages/gateway/src/cassiahead_gateway/outgoing_request.py
@@ -32,8 +32,7 @@
         latencies: Recent latencies of attempts on the same route.
         priority: Rank of the request in an overload; 0 is the highest.
         account_name: Name of the client account; empty if it has none.
-        passes_long_bodies_on: Whether the caller gets the body of a long
-            response while it arrives.
+        is_part: Whether its response is merged with those of other shards.
     """
 
     request_id: str
@@ -46,4 +45,4 @@
     latencies: hedging.LatencyWindow
     priority: int = 0
     account_name: str = ""
-    passes_long_bodies_on: bool = False
+    is_part: bool = False
--- a/packages/gateway/src/cassiahead_gateway/request_handler.py
+++ b/packages/gateway/src/cassiahead_gateway/request_handler.py
@@ -290,7 +290,7 @@
                 admitted_request.route, admitted_request.account
             ),
             admitted_request.account.name if admitted_request.account else "",
-            not isinstance(admitted_request.route.destination, api.Scatter),
+            isinstance(admitted_request.route.destination, api.Scatter),
         )
 
     def _error_reply(
