--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -166,6 +166,13 @@
             stream.close()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Starts a task that ``close`` waits for."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
     def echoed_header_lines(
         self, headers: httputil.HTTPHeaders
     ) -> tuple[str, ...]:
@@ -198,16 +205,11 @@
             return
         if is_refused:
             self._refused_count += 1
-            self._spawn(self._refuse_connection(stream))
+            self.spawn(self._refuse_connection(stream))
         else:
             self._count_by_ip[ip] += 1
             transaction = self._start_transaction(stream, is_first=True)
-            self._spawn(self._serve(stream, ip, transaction))
-
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+            self.spawn(self._serve(stream, ip, transaction))
 
     async def _refuse_connection(
         self, stream: server_stream.ServerStream
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -126,6 +126,8 @@
         """Closes the connection."""
         self._is_closed = True
         self._connection.close()
+        # Tornado doesn't report a close from this side to the task.
+        self.on_connection_close()
 
     @property
     def eviction_rank(self) -> evictions.EvictionRank | None:
@@ -282,7 +284,7 @@
         # While a request is being served, tornado reports a closed connection
         # only through this callback.
         self._connection.set_close_callback(self.on_connection_close)
-        self._task = asyncio.ensure_future(self._serve(request))
+        self._task = self._server.spawn(self._serve(request))
 
     def on_connection_close(self) -> None:
         """Cancels the request; called by tornado."""
--- a/packages/gateway/tests/test_server_limits.py
+++ b/packages/gateway/tests/test_server_limits.py
@@ -12,6 +12,7 @@
 
 from cassiahead_gateway import http_server
 from cassiahead_gateway import server_limits
+from cassiahead_wire import body_stream
 from cassiahead_wire import memory_budget
 
 if TYPE_CHECKING:
@@ -43,6 +44,7 @@
         self.request_count = 0
         self.delay_s = 0.0
         self.answer: bytes | None = None
+        self.stream: body_stream.BodyStream | None = None
         self.refusals: list[server_limits.Refusal] = []
         self.budget = memory_budget.MemoryBudget()
         self.http = http_server.HttpServer(
@@ -58,7 +60,8 @@
         self.request_count += 1
         await asyncio.sleep(self.delay_s)
         body = request.body if self.answer is None else self.answer
-        return http_server.plain_reply(200, body)
+        reply = http_server.plain_reply(200, body)
+        return attrs.evolve(reply, stream=self.stream)
 
     @contextlib.asynccontextmanager
     async def connection(
@@ -270,3 +273,28 @@
         _LIMITS, max_connections=64, max_connections_per_address=1
     )
     _run(test, limits)
+
+
+def test_task_of_an_unread_stream_ends_with_its_connection() -> None:
+    # The task waited forever for a write that tornado had forgotten.
+    async def test(server: _Server) -> None:
+        body = body_stream.BodyStream(memory_budget.HeldMemory(server.budget))
+        server.stream = body
+        async with server.connection() as (_, writer):
+            writer.write(_GET)
+            while not server.request_count:
+                await asyncio.sleep(0.01)
+            filling = asyncio.ensure_future(_fill(body))
+            while not server.refusals:
+                await asyncio.sleep(0.01)
+            assert server.refusals == [server_limits.Refusal.REPLY_UNREAD]
+            while server.budget.held_bytes:
+                await asyncio.sleep(0.01)
+            filling.cancel()
+
+    _run(test)
+
+
+async def _fill(body: body_stream.BodyStream) -> None:
+    while True:
+        await body.put(bytes(65536))
