--- a/packages/gateway/src/cassiahead_gateway/evictions.py
+++ b/packages/gateway/src/cassiahead_gateway/evictions.py
@@ -19,8 +19,7 @@
 
 __all__ = ["Evictable", "EvictionQueue", "EvictionRank", "EvictionStage"]
 
-# All candidates are ranked again at most this often.
-_MIN_RANKING_INTERVAL_S = 0.05
+_RANKING_INTERVAL_S = 0.25
 
 
 class EvictionStage(enum.IntEnum):
@@ -31,13 +30,14 @@
     DELAYING = 2
 
 
-@attrs.frozen(order=True)
+@attrs.frozen
 class EvictionRank:
     """Place in the order of eviction.
 
     Attributes:
         stage: What the client is doing.
-        since: When the stage began, on the clock of the ranking's owner.
+        since: When the stage began; of two connections in one stage, that
+            which began it earlier is evicted first.
     """
 
     stage: EvictionStage
@@ -64,60 +64,58 @@
 
 @attrs.define(eq=False)
 class EvictionQueue(Generic[_Candidate]):
-    """Evicts connections in the order of their ranks."""
+    """Evicts connections in the order of their ranks.
+
+    All connections are ranked at intervals, so that an eviction costs little
+    however many there are.
+    """
 
     _candidates: Callable[[], Iterable[_Candidate]]
+    _min_delay_s: float
+    _is_wanted: Callable[[_Candidate], bool] = lambda _candidate: True
     _ranked: list[tuple[EvictionRank, _Candidate]] = attrs.field(factory=list)
-    _ranked_at: float = 0.0
+    _next_ranking_at: float = 0.0
 
-    def evict(
-        self,
-        until: float,
-        is_wanted: Callable[[_Candidate], bool] = lambda _candidate: True,
-    ) -> _Candidate | None:
-        """Evicts the first connection.
+    def evict(self, now: float) -> bool:
+        """Evicts the first connection that is wanted.
+
+        A connection that delays is evicted only once it has delayed for a
+        while.
 
         Args:
-            until: Time after which the stage of a connection must not have
-                begun; connections in other stages than ``DELAYING`` may be
-                evicted at any time.
-            is_wanted: Returns whether a connection is worth its eviction.
+            now: Time on the clock of the ranks.
 
         Returns:
-            The connection; None if there is none to evict.
+            Whether there was one.
         """
-        candidate = self._pop(until, is_wanted)
-        if candidate is None and self._rank():
-            candidate = self._pop(until, is_wanted)
-        if candidate is not None:
-            candidate.evict()
-        return candidate
-
-    def _pop(
-        self, until: float, is_wanted: Callable[[_Candidate], bool]
-    ) -> _Candidate | None:
-        for index in range(len(self._ranked) - 1, -1, -1):
-            rank, candidate = self._ranked[index]
-            if rank.stage is EvictionStage.DELAYING and rank.since > until:
+        candidate = self._pop(now)
+        if candidate is None and clock.monotonic() >= self._next_ranking_at:
+            self._next_ranking_at = clock.monotonic() + _RANKING_INTERVAL_S
+            self._rank()
+            candidate = self._pop(now)
+        if candidate is None:
+            return False
+        candidate.evict()
+        return True
+
+    def _pop(self, now: float) -> _Candidate | None:
+        while self._ranked:
+            rank, candidate = self._ranked[-1]
+            is_delaying = rank.stage is EvictionStage.DELAYING
+            if is_delaying and now - rank.since < self._min_delay_s:
                 # All that follow began later.
                 return None
-            if candidate.eviction_rank != rank:
-                del self._ranked[index]
-            elif is_wanted(candidate):
-                del self._ranked[index]
+            self._ranked.pop()
+            if candidate.eviction_rank == rank:
                 return candidate
         return None
 
-    def _rank(self) -> bool:
-        """Ranks all candidates; returns whether that was due."""
-        now = clock.monotonic()
-        if now - self._ranked_at < _MIN_RANKING_INTERVAL_S:
-            return False
-        self._ranked_at = now
+    def _rank(self) -> None:
         ranked = [
             (rank, candidate)
             for candidate in self._candidates()
-            if (rank := candidate.eviction_rank) is not None
+            if self._is_wanted(candidate)
+            and (rank := candidate.eviction_rank) is not None
         ]
-        self._ranked = sorted(ranked, key=lambda r: r[0], reverse=True)
-        return True
+        ranked.sort(key=lambda r: (r[0].stage, r[0].since), reverse=True)
+        self._ranked = ranked
--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -50,8 +50,6 @@
 # memory run out. Clients within the limits send a request at once.
 _MIN_DELAY_FOR_CONNECTIONS_S = 0.25
 _MIN_DELAY_FOR_MEMORY_S = 1.0
-# Time for which no connection is looked for again after none was found.
-_FREEING_INTERVAL_S = 0.05
 # Connections that hold less are not closed for their memory.
 _MIN_FREED_BYTES = 4 * 1024
 _MAX_REQUEST_LINE_BYTES = 8 * 1024
@@ -83,6 +81,7 @@
         None
     )
     _echoed_header: str = ""
+    body_turns: turn_queue.TurnQueue = attrs.field(factory=turn_queue.TurnQueue)
     is_closing: bool = False
     active_time: float = 0.0
     _transactions: dict[
@@ -97,7 +96,21 @@
         server_transaction.ServerTransaction
     ] = attrs.field(
         default=attrs.Factory(
-            lambda self: evictions.EvictionQueue(self._transactions.values),
+            lambda self: evictions.EvictionQueue(
+                self._transactions.values, _MIN_DELAY_FOR_CONNECTIONS_S
+            ),
+            takes_self=True,
+        )
+    )
+    _memory_evictions: evictions.EvictionQueue[
+        server_transaction.ServerTransaction
+    ] = attrs.field(
+        default=attrs.Factory(
+            lambda self: evictions.EvictionQueue(
+                self._transactions.values,
+                _MIN_DELAY_FOR_MEMORY_S,
+                lambda transaction: transaction.held_bytes > _MIN_FREED_BYTES,
+            ),
             takes_self=True,
         )
     )
@@ -114,7 +127,6 @@
             takes_self=True,
         )
     )
-    _next_freeing_at: float = 0.0
     _swept_at: float = 0.0
     _sweep_timer: asyncio.TimerHandle | None = None
 
@@ -188,7 +200,7 @@
         per_address = limits.max_connections_per_address
         is_refused = bool(per_address) and self._count_by_ip[ip] >= per_address
         if not is_refused and len(self._transactions) >= limits.max_connections:
-            is_refused = not self._evict_for_connection()
+            is_refused = not self._evictions.evict(self.active_time)
         if is_refused:
             self.record_refusal(server_limits.Refusal.TOO_MANY_CONNECTIONS)
             max_refused = min(
@@ -271,25 +283,9 @@
             self._params = (limits, params)
         return self._params[1]
 
-    def _evict_for_connection(self) -> bool:
-        """Closes a connection for a new one; returns whether there was one."""
-        transaction = self._evictions.evict(
-            self.active_time - _MIN_DELAY_FOR_CONNECTIONS_S
-        )
-        return transaction is not None
-
     def _free_memory(self) -> bool:
         """Closes a connection for its memory; returns whether there was one."""
-        now = clock.monotonic()
-        if now < self._next_freeing_at:
-            return False
-        transaction = self._evictions.evict(
-            self.active_time - _MIN_DELAY_FOR_MEMORY_S,
-            lambda transaction: transaction.held_bytes > _MIN_FREED_BYTES,
-        )
-        if transaction is None:
-            self._next_freeing_at = now + _FREEING_INTERVAL_S
-        return transaction is not None
+        return self._memory_evictions.evict(self.active_time)
 
     def remove(
         self,
--- a/packages/gateway/tests/test_evictions.py
+++ b/packages/gateway/tests/test_evictions.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import attrs
-import pytest
 
 from cassiahead_gateway import evictions
-from cassiahead_wire import clock
 
 _Stage = evictions.EvictionStage
+_NOW = 10.0
 
 
 @attrs.define(eq=False)
@@ -30,19 +29,19 @@
         self.is_evicted = True
 
 
-@pytest.fixture(autouse=True)
-def _clock(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clock, "monotonic", lambda: 100.0)
-
-
 def _evict_all(
-    connections: list[_Connection], until: float = 100.0
+    connections: list[_Connection], min_delay_s: float = 0.0
 ) -> list[int]:
     """Returns the indexes of the connections, in the order of eviction."""
-    queue = evictions.EvictionQueue(lambda: connections)
+    queue = evictions.EvictionQueue(lambda: connections, min_delay_s)
     evicted = []
-    while (connection := queue.evict(until)) is not None:
-        evicted.append(connections.index(connection))
+    while queue.evict(_NOW):
+        [index] = [
+            i
+            for i, connection in enumerate(connections)
+            if connection.is_evicted and i not in evicted
+        ]
+        evicted.append(index)
     return evicted
 
 
@@ -62,7 +61,7 @@
         _Connection(_Stage.DELAYING, 9.0),
         _Connection(_Stage.DELAYING, 7.0),
     ]
-    assert _evict_all(connections, until=8.0) == [1]
+    assert _evict_all(connections, min_delay_s=2.0) == [1]
 
 
 def test_a_request_that_has_arrived_since_the_ranking_is_kept() -> None:
@@ -71,10 +70,11 @@
         _Connection(_Stage.DELAYING, 2.0),
         _Connection(_Stage.DELAYING, 3.0),
     ]
-    queue = evictions.EvictionQueue(lambda: connections)
-    assert queue.evict(100.0) is connections[0]
+    queue = evictions.EvictionQueue(lambda: connections, 0.0)
+    assert queue.evict(_NOW)
     connections[1].stage = None
-    assert queue.evict(100.0) is connections[2]
+    assert queue.evict(_NOW)
+    assert [c.is_evicted for c in connections] == [True, False, True]
 
 
 def test_connections_that_hold_nothing_are_kept() -> None:
@@ -82,6 +82,24 @@
         _Connection(_Stage.DELAYING, 1.0),
         _Connection(_Stage.DELAYING, 2.0, held_bytes=10),
     ]
-    queue = evictions.EvictionQueue(lambda: connections)
-    evicted = queue.evict(100.0, lambda connection: connection.held_bytes > 0)
-    assert evicted is connections[1]
+    queue = evictions.EvictionQueue(
+        lambda: connections, 0.0, lambda connection: connection.held_bytes > 0
+    )
+    assert queue.evict(_NOW)
+    assert not queue.evict(_NOW)
+    assert [c.is_evicted for c in connections] == [False, True]
+
+
+def test_connections_are_not_ranked_for_each_eviction() -> None:
+    # Ranking 2,000 of them for each new one took most of the processor time.
+    ranking_count = 0
+
+    def connections() -> list[_Connection]:
+        nonlocal ranking_count
+        ranking_count += 1
+        return []
+
+    queue = evictions.EvictionQueue(connections, 0.0)
+    for _ in range(10):
+        assert not queue.evict(_NOW)
+    assert ranking_count == 1
