--- a/packages/gateway/tests/test_server_limits.py
+++ b/packages/gateway/tests/test_server_limits.py
@@ -298,3 +298,4 @@
 async def _fill(body: body_stream.BodyStream) -> None:
     while True:
         await body.put(bytes(65536))
+        await asyncio.sleep(0)
--- a/packages/wire/src/cassiahead_wire/body_stream.py
+++ b/packages/wire/src/cassiahead_wire/body_stream.py
@@ -89,6 +89,7 @@
 
     def release(self) -> None:
         """Frees everything; called by the reader, which reads no more."""
+        self._is_cut_off = not self._is_complete
         self._pieces.clear()
         self._waiting_bytes = self._last_read_bytes = 0
         self._held.release()
