--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -27,6 +27,7 @@
 from cassiahead_wire import clock
 from cassiahead_wire import memory_budget
 from cassiahead_wire import server_stream
+from cassiahead_wire import turn_queue
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -66,6 +67,7 @@
         handler: Called with each request.
         budget: Counts the bytes held for clients.
         record_refusal: Called for each client that is refused.
+        body_turns: Turns of the clients with long bodies.
         is_closing: Whether to close each connection after its next reply.
         active_time: Seconds for which the process has run, as of the last
             sweep. Timeouts of clients are measured on this clock.
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -72,6 +72,7 @@
             params,
             limits.max_header_bytes,
             self,
+            server.body_turns,
         )
         self._writer = reply_writer.ReplyWriter(
             self._connection, stream, server.budget
@@ -360,6 +361,14 @@
 
     async def _wait_for_memory(self, chunk: bytes) -> None:
         """Keeps a piece once there is memory, or refuses the request."""
+        waiting_bytes = len(chunk)
+        self._server.budget.hold(waiting_bytes)
+        try:
+            await self._wait_until_kept(chunk)
+        finally:
+            self._server.budget.drop(waiting_bytes)
+
+    async def _wait_until_kept(self, chunk: bytes) -> None:
         deadline = clock.monotonic() + _MEMORY_WAIT_S
         while clock.monotonic() < deadline and not self._stream.is_refused:
             await asyncio.sleep(_MEMORY_POLL_INTERVAL_S)
--- a/packages/wire/src/cassiahead_wire/http_connection.py
+++ b/packages/wire/src/cassiahead_wire/http_connection.py
@@ -15,6 +15,7 @@
 
 from cassiahead_wire import chunked_decoder
 from cassiahead_wire import streams
+from cassiahead_wire import turn_queue
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -27,13 +28,15 @@
 
 # Bytes of a body after which the event loop handles other connections; each
 # chunk counts as some bytes more.
-_YIELD_BYTES = 256 * 1024
+_YIELD_BYTES = 64 * 1024
 _CHUNK_COST_BYTES = 1024
 
 
 class HttpConnection(http1connection.HTTP1Connection):
     """Reads one message, and writes one."""
 
+    _work_bytes = 0
+
     async def _read_chunked_body(
         self, delegate: httputil.HTTPMessageDelegate
     ) -> None:
@@ -45,7 +48,6 @@
         stream = self.stream
         assert isinstance(stream, streams.BufferedStream)
         decoder = chunked_decoder.ChunkedDecoder(self._max_body_size)
-        work_bytes = 0
         while not decoder.is_finished:
             chunk_count_before = decoder.chunk_count
             encoded = await stream.read_bytes(
@@ -55,12 +57,37 @@
             if data:
                 await self._deliver_body(delegate, data)
             chunk_count = decoder.chunk_count - chunk_count_before
-            work_bytes += len(encoded) + chunk_count * _CHUNK_COST_BYTES
-            if work_bytes >= _YIELD_BYTES:
-                work_bytes = 0
-                await asyncio.sleep(0)
+            work_bytes = len(encoded) + chunk_count * _CHUNK_COST_BYTES
+            # Nothing is held while others have their turns.
+            del encoded, data
+            await self._count_work(work_bytes)
         stream.unread(decoder.unused)
 
+    async def _read_fixed_body(
+        self, content_length: int, delegate: httputil.HTTPMessageDelegate
+    ) -> None:
+        """Reads a body of a known length; called by tornado."""
+        while content_length > 0:
+            data = await self.stream.read_bytes(
+                min(self.params.chunk_size, content_length), partial=True
+            )
+            content_length -= len(data)
+            await self._deliver_body(delegate, data)
+            work_bytes = len(data)
+            # Nothing is held while others have their turns.
+            del data
+            await self._count_work(work_bytes)
+
+    async def _count_work(self, byte_count: int) -> None:
+        """Yields to other connections after some work."""
+        self._work_bytes += byte_count
+        if self._work_bytes >= _YIELD_BYTES:
+            self._work_bytes = 0
+            await self._yield()
+
+    async def _yield(self) -> None:
+        await asyncio.sleep(0)
+
 
 class RequestReader(Protocol):
     """Decides on a request while it is read."""
@@ -89,6 +116,7 @@
         params: http1connection.HTTP1ConnectionParameters,
         max_header_bytes: int,
         reader: RequestReader,
+        turns: turn_queue.TurnQueue,
     ) -> None:
         """Creates a connection for the next request of a stream.
 
@@ -98,10 +126,15 @@
             max_header_bytes: Largest size of the headers, without the request
                 line.
             reader: Decides on the request.
+            turns: Turns of all clients with long bodies.
         """
         super().__init__(stream, False, params)
         self._max_header_bytes = max_header_bytes
         self._reader = reader
+        self._turns = turns
+
+    async def _yield(self) -> None:
+        await self._turns.wait()
 
     def _parse_headers(self, data: bytes) -> tuple[str, httputil.HTTPHeaders]:
         request_line_bytes = data.lstrip(b"\r\n").find(b"\n") + 1
--- /dev/null
+++ b/packages/wire/src/cassiahead_wire/turn_queue.py
@@ -0,0 +1,48 @@
+"""Lets tasks with much work to do run one after the other.
+
+Load pattern: hundreds of clients send long bodies at once. If each of them were
+read on in every cycle of the event loop, a request without a body would wait
+for all of them in each of the few cycles that it takes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+import attrs
+
+__all__ = ["TurnQueue"]
+
+
+@attrs.define(eq=False)
+class TurnQueue:
+    """Gives one turn in each cycle of the event loop."""
+
+    _waiting: collections.deque[asyncio.Future[None]] = attrs.field(
+        factory=collections.deque
+    )
+    _is_scheduled: bool = False
+
+    async def wait(self) -> None:
+        """Waits for a turn, after all who have waited for longer."""
+        turn = asyncio.get_running_loop().create_future()
+        self._waiting.append(turn)
+        self._schedule()
+        await turn
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._give_turn)
+
+    def _give_turn(self) -> None:
+        self._is_scheduled = False
+        while self._waiting:
+            turn = self._waiting.popleft()
+            # A task that was cancelled needs no turn.
+            if not turn.done():
+                turn.set_result(None)
+                break
+        if self._waiting:
+            self._schedule()
