--- a/packages/wire/src/cassiahead_wire/server_stream.py
+++ b/packages/wire/src/cassiahead_wire/server_stream.py
@@ -87,6 +87,8 @@
     @property
     def held_bytes(self) -> int:
         """Number of bytes in the buffers of this process."""
+        if self.closed():
+            return 0
         return self._read_buffer_size + len(self._write_buffer)
 
     def refuse(self, response: bytes) -> None:
