--- a/packages/gateway/src/cassiahead_gateway/evictions.py
+++ b/packages/gateway/src/cassiahead_gateway/evictions.py
@@ -1,13 +1,15 @@
 """Which connections are closed for others when connections or memory run out.
 
-A client that sends its request in full and reads its reply soon is never
-closed; a client that delays either is closed once it has delayed for longest.
+A client that sends its request in full and reads its reply soon is not closed
+for others before its reply is there; a client that delays either is closed once
+it has delayed for longest.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import enum
 from typing import Generic
 from typing import Protocol
@@ -23,11 +25,19 @@
 
 
 class EvictionStage(enum.IntEnum):
-    """What a client is doing; the first stage is evicted first."""
+    """What a client is doing; the first stage is evicted first.
+
+    Attributes:
+        REFUSED: Reading a refusal.
+        IDLE: Waiting for longer than clients within the limits do.
+        DELAYING: Sending a request, or reading a reply.
+        KEPT: Keeping the connection for its next request.
+    """
 
     REFUSED = 0
     IDLE = 1
     DELAYING = 2
+    KEPT = 3
 
 
 @attrs.frozen
@@ -71,7 +81,7 @@
     """
 
     _candidates: Callable[[], Iterable[_Candidate]]
-    _min_delay_s: float
+    _min_s_by_stage: Mapping[EvictionStage, float]
     _is_wanted: Callable[[_Candidate], bool] = lambda _candidate: True
     _ranked: list[tuple[EvictionRank, _Candidate]] = attrs.field(factory=list)
     _next_ranking_at: float = 0.0
@@ -79,8 +89,7 @@
     def evict(self, now: float) -> bool:
         """Evicts the first connection that is wanted.
 
-        A connection that delays is evicted only once it has delayed for a
-        while.
+        A connection is evicted once it has been in its stage for long enough.
 
         Args:
             now: Time on the clock of the ranks.
@@ -88,34 +97,30 @@
         Returns:
             Whether there was one.
         """
-        candidate = self._pop(now)
+        candidate = self._pop()
         if candidate is None and clock.monotonic() >= self._next_ranking_at:
             self._next_ranking_at = clock.monotonic() + _RANKING_INTERVAL_S
-            self._rank()
-            candidate = self._pop(now)
+            self._rank(now)
+            candidate = self._pop()
         if candidate is None:
             return False
         candidate.evict()
         return True
 
-    def _pop(self, now: float) -> _Candidate | None:
+    def _pop(self) -> _Candidate | None:
         while self._ranked:
-            rank, candidate = self._ranked[-1]
-            is_delaying = rank.stage is EvictionStage.DELAYING
-            if is_delaying and now - rank.since < self._min_delay_s:
-                # All that follow began later.
-                return None
-            self._ranked.pop()
+            rank, candidate = self._ranked.pop()
             if candidate.eviction_rank == rank:
                 return candidate
         return None
 
-    def _rank(self) -> None:
+    def _rank(self, now: float) -> None:
         ranked = [
             (rank, candidate)
             for candidate in self._candidates()
             if self._is_wanted(candidate)
             and (rank := candidate.eviction_rank) is not None
+            and now - rank.since >= self._min_s_by_stage.get(rank.stage, 0.0)
         ]
         ranked.sort(key=lambda r: (r[0].stage, r[0].since), reverse=True)
         self._ranked = ranked
--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -47,10 +47,13 @@
 # Time in which the process was suspended does not count towards the timeouts
 # of clients.
 _MAX_SWEEP_INTERVAL_S = 0.5
-# Shortest delay for which a client loses its connection, when connections or
-# memory run out. Clients within the limits send a request at once.
-_MIN_DELAY_FOR_CONNECTIONS_S = 0.25
-_MIN_DELAY_FOR_MEMORY_S = 1.0
+# Seconds after which a client loses its connection when connections or memory
+# run out. Clients within the limits send a request at once.
+_MIN_S_FOR_CONNECTIONS = {
+    evictions.EvictionStage.DELAYING: 0.25,
+    evictions.EvictionStage.KEPT: 1.5,
+}
+_MIN_S_FOR_MEMORY = {evictions.EvictionStage.DELAYING: 1.0}
 # Connections that hold less are not closed for their memory.
 _MIN_FREED_BYTES = 4 * 1024
 _MAX_REQUEST_LINE_BYTES = 8 * 1024
@@ -99,7 +102,7 @@
     ] = attrs.field(
         default=attrs.Factory(
             lambda self: evictions.EvictionQueue(
-                self._transactions.values, _MIN_DELAY_FOR_CONNECTIONS_S
+                self._transactions.values, _MIN_S_FOR_CONNECTIONS
             ),
             takes_self=True,
         )
@@ -110,7 +113,7 @@
         default=attrs.Factory(
             lambda self: evictions.EvictionQueue(
                 self._transactions.values,
-                _MIN_DELAY_FOR_MEMORY_S,
+                _MIN_S_FOR_MEMORY,
                 lambda transaction: transaction.held_bytes > _MIN_FREED_BYTES,
             ),
             takes_self=True,
@@ -289,19 +292,9 @@
         """Closes a connection for its memory; returns whether there was one."""
         return self._memory_evictions.evict(self.active_time)
 
-    def remove(
-        self,
-        stream: server_stream.ServerStream,
-        refusal: server_limits.Refusal,
-    ) -> None:
-        """Forgets an evicted connection.
-
-        Args:
-            stream: Stream of the connection.
-            refusal: Why it was closed.
-        """
+    def remove(self, stream: server_stream.ServerStream) -> None:
+        """Forgets an evicted connection."""
         self._transactions.pop(stream, None)
-        self.record_refusal(refusal)
 
     def _schedule_sweep(self) -> None:
         self._sweep_timer = asyncio.get_running_loop().call_later(
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -132,11 +132,7 @@
 
     @property
     def eviction_rank(self) -> evictions.EvictionRank | None:
-        """Place in the order of eviction; None while a request is handled.
-
-        A connection that clients within the limits may still reuse is not
-        evicted either.
-        """
+        """Place in the order of eviction; None while a request is handled."""
         if self._stream.closed():
             return None
         stage = evictions.EvictionStage
@@ -153,7 +149,7 @@
         has_unread_reply = self._stream.unsent_bytes > 0
         if self._is_first or self._stream.has_unread_bytes or has_unread_reply:
             return evictions.EvictionRank(stage.DELAYING, self._waiting_since)
-        return None
+        return evictions.EvictionRank(stage.KEPT, self._waiting_since)
 
     @property
     def held_bytes(self) -> int:
@@ -162,12 +158,15 @@
 
     def evict(self) -> None:
         """Closes the connection, and gives its memory back."""
-        refusal = (
-            Refusal.IDLE_EVICTED
-            if self.idle_s(self._server.active_time) is not None
-            else Refusal.DELAY_EVICTED
-        )
-        self._server.remove(self._stream, refusal)
+        rank = self.eviction_rank
+        self._server.remove(self._stream)
+        match rank:
+            case evictions.EvictionRank(evictions.EvictionStage.DELAYING):
+                self._server.record_refusal(Refusal.DELAY_EVICTED)
+            case evictions.EvictionRank(
+                evictions.EvictionStage.IDLE | evictions.EvictionStage.KEPT
+            ):
+                self._server.record_refusal(Refusal.IDLE_EVICTED)
         self.close()
         self._stream.close()
         self._release_request()
--- a/packages/gateway/tests/test_evictions.py
+++ b/packages/gateway/tests/test_evictions.py
@@ -30,10 +30,11 @@
 
 
 def _evict_all(
-    connections: list[_Connection], min_delay_s: float = 0.0
+    connections: list[_Connection],
+    min_s_by_stage: dict[evictions.EvictionStage, float] | None = None,
 ) -> list[int]:
     """Returns the indexes of the connections, in the order of eviction."""
-    queue = evictions.EvictionQueue(lambda: connections, min_delay_s)
+    queue = evictions.EvictionQueue(lambda: connections, min_s_by_stage or {})
     evicted = []
     while queue.evict(_NOW):
         [index] = [
@@ -52,16 +53,18 @@
         _Connection(_Stage.DELAYING, 2.0),
         _Connection(_Stage.IDLE, 9.0),
         _Connection(_Stage.REFUSED, 9.5),
+        _Connection(_Stage.KEPT, 1.0),
     ]
-    assert _evict_all(connections) == [4, 3, 2, 0]
+    assert _evict_all(connections) == [4, 3, 2, 0, 5]
 
 
 def test_short_delays_are_borne() -> None:
     connections = [
         _Connection(_Stage.DELAYING, 9.0),
         _Connection(_Stage.DELAYING, 7.0),
+        _Connection(_Stage.KEPT, 9.0),
     ]
-    assert _evict_all(connections, min_delay_s=2.0) == [1]
+    assert _evict_all(connections, {_Stage.DELAYING: 2.0}) == [1, 2]
 
 
 def test_a_request_that_has_arrived_since_the_ranking_is_kept() -> None:
@@ -70,7 +73,7 @@
         _Connection(_Stage.DELAYING, 2.0),
         _Connection(_Stage.DELAYING, 3.0),
     ]
-    queue = evictions.EvictionQueue(lambda: connections, 0.0)
+    queue = evictions.EvictionQueue(lambda: connections, {})
     assert queue.evict(_NOW)
     connections[1].stage = None
     assert queue.evict(_NOW)
@@ -83,7 +86,7 @@
         _Connection(_Stage.DELAYING, 2.0, held_bytes=10),
     ]
     queue = evictions.EvictionQueue(
-        lambda: connections, 0.0, lambda connection: connection.held_bytes > 0
+        lambda: connections, {}, lambda connection: connection.held_bytes > 0
     )
     assert queue.evict(_NOW)
     assert not queue.evict(_NOW)
@@ -99,7 +102,7 @@
         ranking_count += 1
         return []
 
-    queue = evictions.EvictionQueue(connections, 0.0)
+    queue = evictions.EvictionQueue(connections, {})
     for _ in range(10):
         assert not queue.evict(_NOW)
     assert ranking_count == 1
