--- a/packages/gateway/src/cassiahead_gateway/gateway_state.py
+++ b/packages/gateway/src/cassiahead_gateway/gateway_state.py
@@ -22,7 +22,7 @@
 from cassiahead_decisions import token_bucket
 from cassiahead_decisions import traffic_split
 from cassiahead_gateway import api
-from cassiahead_gateway import attempts
+from cassiahead_gateway import attempt_sender as attempt_sender_lib
 from cassiahead_gateway import capacity_queue as capacity_queue_lib
 from cassiahead_gateway import catalogue as catalogue_lib
 from cassiahead_gateway import connection_table
@@ -118,7 +118,7 @@
     sightings: target_sightings.FleetSightings
     signals: target_signals.TargetSignals
     target_pacer: target_pacer_lib.TargetPacer
-    attempt_sender: attempts.AttemptSender
+    attempt_sender: attempt_sender_lib.AttemptSender
     crash_detector: crash_detector_lib.CrashDetector
     cold_start_limiter: cold_start.ColdStartLimiter
     metrics: metrics_lib.Metrics
@@ -244,7 +244,7 @@
             sightings=sightings,
             signals=signals,
             target_pacer=target_pacer,
-            attempt_sender=attempts.AttemptSender(
+            attempt_sender=attempt_sender_lib.AttemptSender(
                 settings.headers,
                 connections,
                 replica_chooser,
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -371,6 +371,8 @@
         deadline = clock.monotonic() + _MEMORY_WAIT_S
         while clock.monotonic() < deadline and not self._stream.is_refused:
             await asyncio.sleep(_MEMORY_POLL_INTERVAL_S)
+            if self._stream.closed():
+                return
             if self._try_count(len(self._body) + len(chunk)):
                 self._body += chunk
                 return
