--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -246,6 +246,10 @@
         self._request_handler.start_drain(schedule)
         await asyncio.sleep(schedule.stop_listening_at - clock.monotonic())
         self._caller_server.stop_listening()
+        await asyncio.sleep(schedule.accept_all_until - clock.monotonic())
+        # Without this, a crowd of paused uploads would have to be disconnected
+        # when the process should end already.
+        self._caller_server.refuse_unfinished()
         await self._wait_for_connections(
             schedule.answer_all_at, schedule.close_idle_at
         )
--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -70,7 +70,7 @@
         handler: Called with each request.
         budget: Counts the bytes held for clients.
         record_refusal: Called for each client that is refused.
-        body_turns: Turns of the clients with long bodies.
+        turns: Turns of the clients with long requests.
         is_closing: Whether to close each connection after its next reply.
         active_time: Seconds for which the process has run, as of the last
             sweep. Timeouts of clients are measured on this clock.
@@ -86,7 +86,7 @@
         None
     )
     _echoed_header: str = ""
-    body_turns: turn_queue.TurnQueue = attrs.field(factory=turn_queue.TurnQueue)
+    turns: turn_queue.TurnQueue = attrs.field(factory=turn_queue.TurnQueue)
     is_closing: bool = False
     active_time: float = 0.0
     _transactions: dict[
@@ -165,13 +165,17 @@
         """Closes the connections on which no request is being served.
 
         A request that arrives while its connection is being closed is not
-        served, so its sender may safely repeat it elsewhere. A request whose
-        body has not arrived is refused.
+        served, so its sender may safely repeat it elsewhere.
         """
+        for transaction in [
+            t for t in self._transactions.values() if t.is_idle
+        ]:
+            transaction.close()
+
+    def refuse_unfinished(self) -> None:
+        """Refuses the requests whose bodies have not arrived."""
         for transaction in list(self._transactions.values()):
-            if transaction.is_idle:
-                transaction.close()
-            elif transaction.is_receiving_body:
+            if transaction.is_receiving_body:
                 transaction.refuse_as_late()
 
     async def close(self) -> None:
@@ -215,7 +219,7 @@
                 sock.close()
                 return
         try:
-            stream = server_stream.ServerStream(sock, self.budget)
+            stream = server_stream.ServerStream(sock, self.budget, self.turns)
         except OSError:
             # The client has reset the connection.
             sock.close()
--- a/packages/gateway/src/cassiahead_gateway/server_transaction.py
+++ b/packages/gateway/src/cassiahead_gateway/server_transaction.py
@@ -72,7 +72,7 @@
             params,
             limits.max_header_bytes,
             self,
-            server.body_turns,
+            server.turns,
         )
         self._writer = reply_writer.ReplyWriter(
             self._connection, stream, server.budget
--- a/packages/gateway/tests/test_server_limits.py
+++ b/packages/gateway/tests/test_server_limits.py
@@ -140,13 +140,13 @@
     _run(test)
 
 
-def test_paused_body_is_refused_when_idle_connections_are_closed() -> None:
+def test_paused_body_is_refused_before_a_stop() -> None:
     # It kept a process that was told to stop until the end of its grace period.
     async def test(server: _Server) -> None:
         async with server.connection() as (reader, writer):
             writer.write(b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nx")
             await asyncio.sleep(0.2)
-            server.http.close_idle()
+            server.http.refuse_unfinished()
             assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
 
     _run(test, attrs.evolve(_LIMITS, body_timeout_s=30.0))
@@ -299,3 +299,22 @@
     while True:
         await body.put(bytes(65536))
         await asyncio.sleep(0)
+
+
+def test_long_head_of_a_closed_connection_is_not_parsed() -> None:
+    # A process that was told to stop first parsed all heads that had arrived.
+    async def test(server: _Server) -> None:
+        head = b"GET / HTTP/1.1\r\nA: " + b"a" * 8000 + b"\r\n\r\n"
+        async with server.connection() as (_, writer):
+            while not server.http.connection_count:
+                await asyncio.sleep(0.01)
+            [stream] = server.http._transactions
+            writer.write(head)
+            while not server.http.turns._waiting:
+                await asyncio.sleep(0)
+            stream.close()
+            await asyncio.sleep(0.1)
+            assert not server.request_count
+            assert not server.http.connection_count
+
+    _run(test, attrs.evolve(_LIMITS, max_header_bytes=16_000))
--- a/packages/wire/src/cassiahead_wire/http_connection.py
+++ b/packages/wire/src/cassiahead_wire/http_connection.py
@@ -126,7 +126,7 @@
             max_header_bytes: Largest size of the headers, without the request
                 line.
             reader: Decides on the request.
-            turns: Turns of all clients with long bodies.
+            turns: Turns of all clients with long requests.
         """
         super().__init__(stream, False, params)
         self._max_header_bytes = max_header_bytes
@@ -134,7 +134,7 @@
         self._turns = turns
 
     async def _yield(self) -> None:
-        await self._turns.wait()
+        await self._turns.enqueue()
 
     def _parse_headers(self, data: bytes) -> tuple[str, httputil.HTTPHeaders]:
         request_line_bytes = data.lstrip(b"\r\n").find(b"\n") + 1
--- a/packages/wire/src/cassiahead_wire/server_stream.py
+++ b/packages/wire/src/cassiahead_wire/server_stream.py
@@ -19,6 +19,7 @@
     from types import TracebackType
 
     from cassiahead_wire import memory_budget
+    from cassiahead_wire import turn_queue
 
 
 __all__ = ["ServerStream"]
@@ -28,6 +29,7 @@
 _MAX_UNREAD_BYTES = 4 * 1024 * 1024
 # Unread bytes of a connection that don't count towards the budget.
 _UNBUDGETED_BYTES = 4 * 1024
+_MAX_UNQUEUED_HEAD_BYTES = 4 * 1024
 # A refusal can be read for this long before the connection is closed. Bytes
 # that arrive meanwhile are discarded: closing with unread bytes would reset the
 # connection, and the peer could lose the refusal.
@@ -45,13 +47,17 @@
     """
 
     def __init__(
-        self, sock: socket.socket, budget: memory_budget.MemoryBudget
+        self,
+        sock: socket.socket,
+        budget: memory_budget.MemoryBudget,
+        turns: turn_queue.TurnQueue,
     ) -> None:
         """Wraps an accepted socket.
 
         Args:
             sock: The socket; it is set to non-blocking mode.
             budget: Budget that unread bytes count towards.
+            turns: Turns of all clients with long requests.
         """
         super().__init__(
             sock,
@@ -62,6 +68,9 @@
         self.on_line_too_long: Callable[[], None] = self.close
         self.on_memory_short: Callable[[], None] = self.close
         self._budget = budget
+        self._turns = turns
+        self._turn: asyncio.Future[None] | None = None
+        self._queued_head_bytes = 0
         self._reserved_bytes = 0
         self._refusal_end: asyncio.Future[None] | None = None
 
@@ -89,7 +98,8 @@
         """Number of bytes in the buffers of this process."""
         if self.closed():
             return 0
-        return self._read_buffer_size + len(self._write_buffer)
+        buffered_bytes = self._read_buffer_size + len(self._write_buffer)
+        return buffered_bytes + self._queued_head_bytes
 
     def refuse(self, response: bytes) -> None:
         """Sends a last response, and closes soon after; reads never end.
@@ -109,6 +119,22 @@
             self._add_io_state(self.io_loop.READ)
         loop.call_later(_LINGER_S, self.close)
 
+    async def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> bytes:
+        """Reads a head; called by tornado.
+
+        A long head waits for a turn: parsing one may take as long as dozens of
+        ordinary requests.
+
+        Raises:
+            StreamClosedError: If the stream was closed meanwhile.
+        """
+        head = await super().read_until_regex(regex, max_bytes)
+        if len(head) > _MAX_UNQUEUED_HEAD_BYTES:
+            await self._wait_for_turn(len(head))
+        return head
+
     async def wait_refused(self) -> None:
         """Waits until a refused connection is closed."""
         if self._refusal_end is not None:
@@ -152,6 +178,8 @@
             return
         super().close(exc_info)
         self._reserve(0)
+        if self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
         if self._refusal_end is not None and not self._refusal_end.done():
             self._refusal_end.set_result(None)
 
@@ -163,6 +191,28 @@
     def set_nodelay(self, value: bool) -> None:
         """Does nothing: TCP_NODELAY was set when the stream was created."""
 
+    async def _wait_for_turn(self, head_bytes: int) -> None:
+        """Waits for a turn to parse a head, unless memory is short.
+
+        Args:
+            head_bytes: Size of the head, which is held meanwhile.
+
+        Raises:
+            StreamClosedError: If the stream was closed meanwhile.
+        """
+        if not self._budget.try_reserve(head_bytes):
+            return
+        self._queued_head_bytes = head_bytes
+        self._turn = self._turns.enqueue()
+        try:
+            await self._turn
+        finally:
+            self._budget.release(head_bytes)
+            self._queued_head_bytes = 0
+            self._turn = None
+        if self.closed():
+            raise iostream.StreamClosedError
+
     def _consume(self, loc: int) -> bytes:
         data = super()._consume(loc)
         if self._reserved_bytes:
--- a/packages/wire/src/cassiahead_wire/turn_queue.py
+++ b/packages/wire/src/cassiahead_wire/turn_queue.py
@@ -24,12 +24,15 @@
     )
     _is_scheduled: bool = False
 
-    async def wait(self) -> None:
-        """Waits for a turn, after all who have waited for longer."""
+    def enqueue(self) -> asyncio.Future[None]:
+        """Returns a future that ends with the turn, after all earlier ones.
+
+        Whoever needs no turn any more may end the future before.
+        """
         turn = asyncio.get_running_loop().create_future()
         self._waiting.append(turn)
         self._schedule()
-        await turn
+        return turn
 
     def _schedule(self) -> None:
         if not self._is_scheduled:
@@ -40,7 +43,6 @@
         self._is_scheduled = False
         while self._waiting:
             turn = self._waiting.popleft()
-            # A task that was cancelled needs no turn.
             if not turn.done():
                 turn.set_result(None)
                 break
--- a/packages/wire/tests/test_turn_queue.py
+++ b/packages/wire/tests/test_turn_queue.py
@@ -13,7 +13,7 @@
         taken: list[int] = []
 
         async def take(number: int) -> None:
-            await turns.wait()
+            await turns.enqueue()
             taken.append(number)
 
         tasks = [asyncio.ensure_future(take(number)) for number in range(5)]
