--- a/packages/gateway/src/cassiahead_gateway/application.py
+++ b/packages/gateway/src/cassiahead_gateway/application.py
@@ -70,6 +70,7 @@
     _loop_delay_monitor: loop_delay.LoopDelayMonitor = attrs.field(
         factory=loop_delay.LoopDelayMonitor
     )
+    _signalled_at: float | None = None
     _was_ready: bool = False
     _bad_targets: set[str] = attrs.field(factory=set)
 
@@ -180,6 +181,11 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop_requested.set)
+            # The event loop may call its handler late; this one is called at
+            # once. Replacing asyncio's own handler, which does nothing, leaves
+            # the loop's intact.
+            signal.signal(signal_number, self._record_signal)
+            signal.siginterrupt(signal_number, False)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.start()
         if reload_requested():
@@ -188,6 +194,11 @@
         await self.drain()
         await self.stop()
 
+    def _record_signal(self, _number: int, _frame: object) -> None:
+        """Records when the process was told to stop; changes nothing else."""
+        if self._signalled_at is None:
+            self._signalled_at = clock.monotonic()
+
     def start(self) -> None:
         """Starts listening and starts the background tasks."""
         for server in [self._caller_server, *self._internal_servers]:
@@ -234,8 +245,10 @@
         The wait ends when all connections are closed, or shortly before the
         process is killed; see ``DrainSchedule``.
         """
+        signalled_at = self._signalled_at
         schedule = drain_schedule.DrainSchedule.from_signal(
-            clock.monotonic(), self._settings.grace_s
+            clock.monotonic() if signalled_at is None else signalled_at,
+            self._settings.grace_s,
         )
         events.log(
             events.Event.DRAINING,
