--- a/packages/wire/src/cassiahead_wire/body_buffer.py
+++ b/packages/wire/src/cassiahead_wire/body_buffer.py
@@ -69,7 +69,7 @@
         self.size += len(chunk)
         if self.size > self._max_bytes:
             return False
-        if not self._held.try_resize_large(self.size):
+        if not self._held.try_resize_large_part(self.size):
             return False
         self._content += chunk
         return True
--- a/packages/wire/src/cassiahead_wire/body_stream.py
+++ b/packages/wire/src/cassiahead_wire/body_stream.py
@@ -125,6 +125,6 @@
 
     def _count(self) -> bool:
         """Counts the bytes held; returns whether the budget allows them."""
-        return self._held.try_resize_large(
+        return self._held.try_resize_large_part(
             self._waiting_bytes + self._last_read_bytes
         )
--- a/packages/wire/src/cassiahead_wire/memory_budget.py
+++ b/packages/wire/src/cassiahead_wire/memory_budget.py
@@ -139,14 +139,19 @@
         if small_bytes < self._small_bytes:
             self._budget.drop(self._small_bytes - small_bytes)
         self._small_bytes = small_bytes
-        return self._try_resize_large(byte_count - small_bytes)
+        return self._try_hold_large(byte_count - small_bytes)
 
-    def try_resize_large(self, byte_count: int) -> bool:
-        """Does the same, but holds the small part even beyond the limit."""
+    def try_resize_large_part(self, byte_count: int) -> bool:
+        """Holds as many bytes, the small part of them even beyond the limit.
+
+        Returns:
+            Whether the budget allows the large part; if not, only the small
+            part is held.
+        """
         small_bytes = min(byte_count, SMALL_MESSAGE_BYTES)
         self._budget.hold(small_bytes - self._small_bytes)
         self._small_bytes = small_bytes
-        return self._try_resize_large(byte_count - small_bytes)
+        return self._try_hold_large(byte_count - small_bytes)
 
     def release(self) -> None:
         """Gives all bytes back."""
@@ -154,7 +159,7 @@
         self._budget.release(self._large_bytes)
         self._small_bytes = self._large_bytes = 0
 
-    def _try_resize_large(self, byte_count: int) -> bool:
+    def _try_hold_large(self, byte_count: int) -> bool:
         while byte_count > self._large_bytes and not self._budget.try_reserve(
             byte_count - self._large_bytes
         ):
--- a/packages/wire/src/cassiahead_wire/server_stream.py
+++ b/packages/wire/src/cassiahead_wire/server_stream.py
@@ -29,6 +29,7 @@
 _MAX_UNREAD_BYTES = 4 * 1024 * 1024
 # Unread bytes of a connection that don't count towards the budget.
 _UNBUDGETED_BYTES = 4 * 1024
+# Longer heads wait for their turn.
 _MAX_UNQUEUED_HEAD_BYTES = 4 * 1024
 # A refusal can be read for this long before the connection is closed. Bytes
 # that arrive meanwhile are discarded: closing with unread bytes would reset the
@@ -178,6 +179,7 @@
             return
         super().close(exc_info)
         self._reserve(0)
+        self._release_queued_head()
         if self._turn is not None and not self._turn.done():
             self._turn.set_result(None)
         if self._refusal_end is not None and not self._refusal_end.done():
@@ -207,12 +209,15 @@
         try:
             await self._turn
         finally:
-            self._budget.release(head_bytes)
-            self._queued_head_bytes = 0
+            self._release_queued_head()
             self._turn = None
         if self.closed():
             raise iostream.StreamClosedError
 
+    def _release_queued_head(self) -> None:
+        self._budget.release(self._queued_head_bytes)
+        self._queued_head_bytes = 0
+
     def _consume(self, loc: int) -> bytes:
         data = super()._consume(loc)
         if self._reserved_bytes:
