--- a/packages/gateway/src/cassiahead_gateway/http_server.py
+++ b/packages/gateway/src/cassiahead_gateway/http_server.py
@@ -51,7 +51,7 @@
 # run out. Clients within the limits send a request at once.
 _MIN_S_FOR_CONNECTIONS = {
     evictions.EvictionStage.DELAYING: 0.25,
-    evictions.EvictionStage.KEPT: 1.5,
+    evictions.EvictionStage.KEPT: 2.0,
 }
 _MIN_S_FOR_MEMORY = {evictions.EvictionStage.DELAYING: 1.0}
 # Connections that hold less are not closed for their memory.
